--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+SHELL := /bin/bash
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := kernel config platform policy daemon ctl standins
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/cardamom-$(p))
+SOURCES := packages tests tools examples/library
+DEPLOYMENT ?= bogota
+SEED ?= 1
+SECONDS ?= 120
+
+.PHONY: check test demo up soak bench format clean
+
+$(VENV)/.ready: requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--no-build-isolation --no-deps $(EDITABLE)
+	touch $@
+
+check: $(VENV)/.ready
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy
+
+test: $(VENV)/.ready
+	$(BIN)/pytest -q
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format $(SOURCES)
+
+demo: $(VENV)/.ready
+	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT)
+
+up: $(VENV)/.ready
+	$(BIN)/python -m tools.demo --deployment $(DEPLOYMENT) --stay
+
+soak: $(VENV)/.ready
+	$(BIN)/python -m tools.soak --seed $(SEED) --seconds $(SECONDS)
+
+bench: $(VENV)/.ready
+	$(BIN)/python -m tools.bench --seed $(SEED)
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/cardamom-config/src/cardamom_config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that operators write: schema, folders and differences."""
--- /dev/null
+++ b/packages/cardamom-ctl/src/cardamom_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The cardamomctl command line for operators."""
--- /dev/null
+++ b/packages/cardamom-ctl/src/cardamom_ctl/client.py
@@ -0,0 +1,77 @@
+"""Calls to an instance's operator port."""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+
+TIMEOUT_S = 30.0
+NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An instance's answer; ``status`` 0 stands for none."""
+
+    status: int
+    body: Json
+
+    @property
+    def is_ok(self) -> bool:
+        """Tell whether the call succeeded."""
+        return 200 <= self.status < 300
+
+    @property
+    def error(self) -> str:
+        """Return the error's message, or an empty text."""
+        error = self.body.get("error", {})
+        return str(error.get("message", "")) if not self.is_ok else ""
+
+
+class OperatorClient:
+    """Calls one operator port after the other until one answers."""
+
+    def __init__(self, urls: typing.Sequence[str], key: str) -> None:
+        self._urls = [url.rstrip("/") for url in urls]
+        self._headers = {"Authorization": f"Bearer {key}"}
+
+    def call(self, method: str, path: str, body: object = None) -> Answer:
+        """Call the first instance that can be reached.
+
+        A call that may have been sent is not repeated elsewhere.
+        """
+        return asyncio.run(self._call(method, path, body))
+
+    async def _call(self, method: str, path: str, body: object) -> Answer:
+        problems: list[str] = []
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=2.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for url in self._urls:
+                try:
+                    return await self._once(session, method, url + path, body)
+                except aiohttp.ClientConnectorError as error:
+                    problems.append(f"{url}: {error}")
+                except NETWORK_ERRORS as error:
+                    problems.append(f"{url}: no answer: {error!r}")
+                    break
+        message = "; ".join(problems)
+        return Answer(0, {"error": {"code": "unreached", "message": message}})
+
+    async def _once(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        url: str,
+        body: object,
+    ) -> Answer:
+        async with session.request(
+            method,
+            url,
+            json=body,
+            headers=self._headers,
+        ) as response:
+            parsed = await response.json(content_type=None)
+            return Answer(response.status, parsed)
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/app.py
@@ -0,0 +1,304 @@
+"""One instance, assembled: its parts, its tasks and its planned stop."""
+
+import asyncio
+
+from aiohttp import web
+import structlog
+
+from cardamom_daemon import caller_port
+from cardamom_daemon import changes
+from cardamom_daemon import demand
+from cardamom_daemon import dispatcher
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import gossip as gossips
+from cardamom_daemon import model_calls
+from cardamom_daemon import operator_port
+from cardamom_daemon import peer_port
+from cardamom_daemon import placer
+from cardamom_daemon import plain_calls
+from cardamom_daemon import roster_keeper
+from cardamom_daemon import running
+from cardamom_daemon import settings as settings_module
+from cardamom_daemon import share_broker
+from cardamom_daemon import single_calls
+from cardamom_daemon import status
+from cardamom_daemon import table_sync
+from cardamom_daemon import targets
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import registry
+from cardamom_kernel import tasks
+from cardamom_kernel import telemetry
+from cardamom_platform import interfaces
+from cardamom_platform import plugins
+from cardamom_platform import pools
+from cardamom_policy import retries
+
+LOG = structlog.get_logger("cardamom.app")
+
+SHORT_MS = 100
+KEEP_MS = 300
+LIST_MS = 1_000
+CONTEND_MS = 1_500
+PLACE_MS = 250
+UNREADY_GRACE_MS = 2_000
+KEEPALIVE_S = 75.0
+
+PLUGIN_MODULE = plugins
+
+
+class Instance:
+    """One running instance of cardamomd."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock or clocks.MonotonicClock()
+        self.metrics = telemetry.Metrics(
+            settings.statsd_host,
+            settings.statsd_port,
+        )
+        tracer = telemetry.configure_traces(
+            settings.trace_export,
+            settings.trace_ratio,
+            settings.instance,
+        )
+        self._platform_pool = pools.Pool()
+        table = registry.PLUGINS.create(
+            "table",
+            settings.table_plugin,
+            self._platform_pool,
+            settings.table_url,
+        )
+        self.fleet = fleets.Fleet(
+            settings,
+            self.clock,
+            table,
+            self.metrics,
+            tracer,
+        )
+        self.stopped = asyncio.Event()
+        self._group = tasks.TaskGroup(self.clock)
+        self._runners: list[web.AppRunner] = []
+        self._drain_task: asyncio.Task[None] | None = None
+        self._build()
+
+    def _build(self) -> None:
+        fleet, group = self.fleet, self._group
+        self.running = running.RunningRequests(fleet)
+        self.meter = demand.DemandMeter(self.clock)
+        self.book = targets.TargetBook(fleet, group)
+        self.gossip = gossips.Gossip(
+            fleet,
+            group,
+            self.meter,
+            self.book.in_flight,
+        )
+        self.sync = table_sync.TableSync(fleet)
+        self.keeper = roster_keeper.RosterKeeper(
+            fleet,
+            self.gossip,
+            self.sync,
+        )
+        self.broker = share_broker.ShareBroker(fleet, self.gossip)
+        self.dispatch = dispatcher.Dispatcher(
+            fleet,
+            self.book,
+            self.meter,
+            self.gossip.others_in_flight,
+        )
+        self.placer = placer.Placer(fleet, self.book, self.gossip, self.meter)
+        self.list = self._make_list()
+        self._budget = retries.RetryBudget(10)
+        self.single = single_calls.SingleCalls(
+            fleet,
+            self.book,
+            self._make_objects(),
+            self.gossip,
+            group,
+        )
+        self.callers = caller_port.CallerPort(
+            fleet,
+            self.broker,
+            model_calls.ModelCalls(
+                fleet,
+                self.broker,
+                self.dispatch,
+                self.book,
+                self.meter,
+                self.gossip,
+                self._budget,
+                group,
+            ),
+            plain_calls.PlainCalls(fleet, self.book, self._budget),
+            self.single,
+            self.running,
+        )
+        self.changes = changes.Changes(fleet, self.gossip, self.sync)
+        self.report = status.StatusReport(
+            fleet,
+            self.gossip,
+            self.book,
+            self.placer,
+            self.sync,
+        )
+        fleet.listen_configuration(self._configured)
+
+    def _make_list(self) -> interfaces.InstanceList | None:
+        if not self.settings.list_url:
+            return None
+        made: interfaces.InstanceList = registry.PLUGINS.create(
+            "instance-list",
+            self.settings.list_plugin,
+            self._platform_pool,
+            self.settings.list_url,
+        )
+        return made
+
+    def _make_objects(self) -> interfaces.ObjectStore | None:
+        if not self.settings.objects_url:
+            return None
+        made: interfaces.ObjectStore = registry.PLUGINS.create(
+            "objects",
+            self.settings.objects_plugin,
+            self._platform_pool,
+            self.settings.objects_url,
+        )
+        return made
+
+    def _configured(self) -> None:
+        limits = self.fleet.catalog.configuration.limits
+        self._budget.configure(limits.retry_budget_percent)
+        self.book.reconfigure()
+
+    async def start(self) -> None:
+        """Open the ports and begin the background tasks."""
+        settings = self.settings
+        peers = peer_port.PeerPort(self.fleet, self.gossip, self.keeper)
+        operators = operator_port.OperatorPort(
+            self.fleet,
+            self.changes,
+            self.report,
+            self.begin_drain,
+        )
+        await self._listen(peers.application(), settings.peer_port)
+        await self._listen(operators.application(), settings.operator_port)
+        runner = await self._listen(
+            self.callers.application(),
+            settings.caller_port,
+        )
+        server = runner.server
+        assert server is not None
+        self.callers.count_connections = lambda: len(server.connections)
+        self.gossip.start()
+        every = self._group.every
+        every("table", settings.table_poll_ms, self._poll_table)
+        every("roster", KEEP_MS, self.keeper.keep)
+        every("list", LIST_MS, self._read_list)
+        every("shares", KEEP_MS, self.broker.reconcile)
+        every("expiry", SHORT_MS, self.dispatch.expire)
+        every("running", running.WATCH_MS, self.running.watch)
+        every("lease", CONTEND_MS, self.placer.contend)
+        every("placement", PLACE_MS, self.placer.place)
+        LOG.info("app: started", address=settings.peer_address)
+
+    async def _listen(
+        self,
+        application: web.Application,
+        port: int,
+    ) -> web.AppRunner:
+        runner = web.AppRunner(
+            application,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=self.settings.max_header_bytes,
+            max_field_size=self.settings.max_header_bytes,
+            shutdown_timeout=1.0,
+        )
+        await runner.setup()
+        site = web.TCPSite(
+            runner,
+            self.settings.host,
+            port,
+            reuse_address=True,
+        )
+        await site.start()
+        self._runners.append(runner)
+        return runner
+
+    async def _poll_table(self) -> None:
+        await self.sync.poll()
+
+    async def _read_list(self) -> None:
+        if self.list is None:
+            return
+        try:
+            await self.list.announce(self._listed())
+            entries = await self.list.instances()
+        except interfaces.ListUnavailable as error:
+            LOG.debug("app: no list", error=str(error))
+            return
+        self.fleet.leaving_targets = frozenset(
+            entry.id
+            for entry in entries
+            if entry.state is interfaces.InstanceState.LEAVING
+        )
+        self.keeper.note_list(entries)
+
+    def _listed(self) -> interfaces.ListedInstance:
+        state = (
+            interfaces.InstanceState.LEAVING
+            if self.fleet.is_draining
+            else interfaces.InstanceState.LIVE
+        )
+        return interfaces.ListedInstance(
+            self.fleet.instance,
+            self.settings.peer_address,
+            ids.DataCentreId(self.settings.data_centre),
+            state,
+        )
+
+    def begin_drain(self) -> None:
+        """Begin a planned stop; ``stopped`` is set at its end."""
+        if self._drain_task is None:
+            self._drain_task = asyncio.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        """Turn unready, finish what runs, hand over, and stop."""
+        self.fleet.is_draining = True
+        LOG.info("app: draining")
+        await self._read_list()
+        await self.clock.sleep_ms(UNREADY_GRACE_MS)
+        caller_runner = self._runners[-1]
+        for site in list(caller_runner.sites):
+            await site.stop()
+        await self._wait_until_idle()
+        await self.broker.give_away()
+        await self.keeper.leave()
+        await self.placer.lease.release()
+        await self.close()
+        LOG.info("app: stopped")
+        self.stopped.set()
+
+    async def _wait_until_idle(self) -> None:
+        end_ms = self.clock.now_ms() + self.settings.drain_timeout_ms
+        while self.clock.now_ms() < end_ms:
+            if not self.callers.in_flight and not self.single.in_flight:
+                return
+            await self.clock.sleep_ms(SHORT_MS)
+        LOG.warning("app: drain timed out", left=self.callers.in_flight)
+
+    async def close(self) -> None:
+        """Stop every task and close every connection."""
+        for runner in self._runners:
+            await runner.cleanup()
+        self._runners.clear()
+        await self._group.stop_all()
+        await self.single.close()
+        await self.book.close()
+        await self.gossip.close()
+        await self._platform_pool.close()
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/caller_port.py
@@ -0,0 +1,348 @@
+"""The caller port: every request, from its first byte to its answer."""
+
+import asyncio
+import math
+import typing
+
+from aiohttp import web
+from opentelemetry import trace
+import structlog
+
+from cardamom_config import schema
+from cardamom_daemon import callers
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import model_calls
+from cardamom_daemon import plain_calls
+from cardamom_daemon import running as running_module
+from cardamom_daemon import share_broker
+from cardamom_daemon import single_calls
+from cardamom_kernel import ids
+from cardamom_kernel import invariants
+from cardamom_kernel import outcomes
+from cardamom_kernel import shares
+from cardamom_kernel import telemetry
+
+LOG = structlog.get_logger("cardamom.caller")
+
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+
+
+class CallerPort:
+    """Handlers of the caller port."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        broker: share_broker.ShareBroker,
+        models: model_calls.ModelCalls,
+        plain: plain_calls.PlainCalls,
+        single: single_calls.SingleCalls,
+        running: running_module.RunningRequests,
+    ) -> None:
+        self._fleet = fleet
+        self._broker = broker
+        self._models = models
+        self._plain = plain
+        self._single = single
+        self._running = running
+        self.in_flight = 0
+        self.count_connections: typing.Callable[[], int] = lambda: 0
+
+    def application(self) -> web.Application:
+        """Return the web application of the port."""
+        app = web.Application(client_max_size=1 << 40)
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        return app
+
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        request_id = ids.RequestId(ids.random_id("req"))
+        started_ms = self._fleet.clock.now_ms()
+        self.in_flight += 1
+        try:
+            with self._fleet.tracer.start_as_current_span(
+                "caller",
+                context=telemetry.PROPAGATOR.extract(dict(request.headers)),
+                kind=trace.SpanKind.SERVER,
+                attributes={"request": request_id, "method": request.method},
+            ):
+                response = await self._answer(request, request_id)
+        finally:
+            self.in_flight -= 1
+        elapsed_ms = self._fleet.clock.now_ms() - started_ms
+        self._fleet.metrics.timing("caller.duration_ms", elapsed_ms)
+        self._fleet.metrics.count(f"caller.status.{response.status}")
+        return response
+
+    async def _answer(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+    ) -> web.StreamResponse:
+        try:
+            response = await self._route(request, request_id)
+        except outcomes.Refused as refused:
+            response = self._refuse(refused.refusal, request_id)
+        except model_calls.CallerGone:
+            response = web.Response(status=499)
+            response.force_close()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            LOG.exception("caller: failed", request=request_id)
+            invariants.check(
+                False, "caller.no_unexpected_error", error=repr(error)
+            )
+            response = self._refuse(_internal(), request_id)
+        if self._fleet.is_draining and not response.prepared:
+            response.force_close()
+        return response
+
+    def _refuse(
+        self,
+        refusal: outcomes.Refusal,
+        request_id: ids.RequestId,
+    ) -> web.Response:
+        self._fleet.metrics.count(f"caller.refused.{refusal.code.value}")
+        LOG.info(
+            "caller: refused",
+            request=request_id,
+            code=refusal.code.value,
+            step=refusal.step.value,
+            peer=refusal.peer,
+            not_run=refusal.not_run,
+        )
+        headers = {model_calls.REQUEST_ID_HEADER: str(request_id)}
+        if refusal.retry_after_ms is not None:
+            after_s = max(1, math.ceil(refusal.retry_after_ms / 1000))
+            headers["Retry-After"] = str(after_s)
+        telemetry.PROPAGATOR.inject(headers)
+        return web.json_response(
+            callers.error_body(refusal, request_id),
+            status=refusal.status,
+            headers=headers,
+        )
+
+    async def _route(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+    ) -> web.StreamResponse:
+        if self.count_connections() > self._fleet.settings.max_connections:
+            raise outcomes.Refused(_too_many_connections())
+        key = callers.presented_key(request)
+        callers.refuse_key_in_path(request, key)
+        if request.path in MODEL_PATHS and request.method == "POST":
+            return await self._model_call(request, request_id, key)
+        if request.path == "/v1/models" and request.method == "GET":
+            callers.authenticate(self._fleet, key)
+            callers.require_fresh(self._fleet)
+            return self._list_models()
+        return await self._plain_call(request, request_id, key)
+
+    def _list_models(self) -> web.Response:
+        data = [
+            {
+                "id": name,
+                "object": "model",
+                "created": 0,
+                "owned_by": "cardamomway",
+            }
+            for name in self._fleet.catalog.model_names()
+        ]
+        return web.json_response({"object": "list", "data": data})
+
+    async def _model_call(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+        key: str | None,
+    ) -> web.StreamResponse:
+        caller = callers.authenticate(self._fleet, key)
+        callers.require_fresh(self._fleet)
+        body = await self._read_body(request)
+        callers.refuse_key_in_body(caller, body)
+        callers.recheck(self._fleet, caller)
+        entry = self._running.add(request_id, caller.key_id)
+        try:
+            return await self._models.handle(
+                request,
+                request_id,
+                caller,
+                body,
+                entry,
+            )
+        except asyncio.CancelledError:
+            if entry.ended_by is None:
+                raise
+            entry.task.uncancel()
+            return await self._end_early(entry, request_id)
+        finally:
+            self._running.remove(entry)
+
+    async def _end_early(
+        self,
+        entry: running_module.Running,
+        request_id: ids.RequestId,
+    ) -> web.StreamResponse:
+        """Answer a request that this instance has ended for a reason."""
+        refusal = entry.ended_by
+        assert refusal is not None
+        out = entry.out
+        if out is None or not out.prepared:
+            if not entry.was_sent:
+                refusal = running_module.not_run(refusal)
+            return self._refuse(refusal, request_id)
+        self._fleet.metrics.count(f"caller.ended.{refusal.code.value}")
+        timeout_s = self._fleet.settings.write_timeout_ms / 1000
+        try:
+            async with asyncio.timeout(timeout_s):
+                await out.write(model_calls.error_event(refusal, request_id))
+                await out.write_eof()
+        except (TimeoutError, ConnectionError):
+            LOG.info("caller: gone", request=request_id)
+        return out
+
+    async def _plain_call(
+        self,
+        request: web.Request,
+        request_id: ids.RequestId,
+        key: str | None,
+    ) -> web.StreamResponse:
+        name, route = self._find_route(request)
+        caller = None
+        if route.access is schema.Access.KEYED:
+            caller = callers.authenticate(self._fleet, key)
+        callers.require_fresh(self._fleet)
+        body = await self._read_body(request)
+        callers.refuse_key_in_body(caller, body)
+        call = plain_calls.PlainCall(
+            id=request_id,
+            route_name=name,
+            route=route,
+            method=request.method,
+            path=request.rel_url.raw_path,
+            query=tuple(callers.passed_query(request, key)),
+            headers=callers.passed_headers(request, key),
+            body=body,
+            deadline_ms=self._fleet.clock.now_ms() + route.timeout_ms,
+        )
+        single = None
+        if not route.idempotent:
+            assert caller is not None
+            idempotency_key = request.headers.get("Idempotency-Key", "")
+            call.headers["Idempotency-Key"] = idempotency_key
+            single = self._single.make(call, caller, idempotency_key)
+        loan = await self._charge(caller, route.cost_tokens)
+        try:
+            if single is not None:
+                answer = await self._single.run(single)
+            else:
+                answer = await self._plain.run(call, caller)
+            if loan is not None:
+                self._fleet.shares.spend(loan, route.cost_tokens)
+            return answer.to_response(request_id)
+        finally:
+            if loan is not None:
+                self._fleet.shares.settle(loan)
+
+    def _find_route(self, request: web.Request) -> tuple[str, schema.Route]:
+        found = self._fleet.catalog.find_route(request.method, request.path)
+        if found is not None:
+            return found
+        callers.require_fresh(self._fleet)
+        methods = self._fleet.catalog.methods_of(request.path)
+        if methods:
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.METHOD_NOT_ALLOWED,
+                    f"method: this path takes {', '.join(methods)}",
+                    outcomes.Step.ROUTE,
+                    not_run=True,
+                )
+            )
+        raise outcomes.Refused(
+            outcomes.Refusal(
+                outcomes.Code.NOT_FOUND,
+                f"path: no route leads to {request.path!r}",
+                outcomes.Step.ROUTE,
+                not_run=True,
+            )
+        )
+
+    async def _charge(
+        self,
+        caller: callers.Caller | None,
+        tokens: float,
+    ) -> shares.Loan | None:
+        if caller is None or tokens <= 0:
+            return None
+        outcome = await self._broker.charge(caller.team, tokens)
+        if isinstance(outcome, shares.Loan):
+            return outcome
+        self._fleet.metrics.count("rate.refused")
+        raise outcomes.Refused(
+            outcomes.Refusal(
+                outcomes.Code.RATE_EXCEEDED,
+                "the team is above its rate and burst; come back later",
+                outcomes.Step.ADMIT,
+                not_run=True,
+                retry_after_ms=self._broker.retry_after_ms(
+                    caller.team,
+                    outcome.missing_tokens,
+                ),
+            )
+        )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        """Read a body within the limits on its size and time."""
+        limit = self._fleet.catalog.configuration.limits.max_body_bytes
+        if (request.content_length or 0) > limit:
+            raise outcomes.Refused(_too_large(limit))
+        timeout_s = self._fleet.settings.body_timeout_ms / 1000
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for part in request.content.iter_any():
+                    size += len(part)
+                    if size > limit:
+                        raise outcomes.Refused(_too_large(limit))
+                    parts.append(part)
+        except TimeoutError as error:
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.BAD_REQUEST,
+                    "body: did not arrive in time",
+                    outcomes.Step.RECEIVE,
+                    not_run=True,
+                )
+            ) from error
+        return b"".join(parts)
+
+
+def _too_large(limit: int) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.TOO_LARGE,
+        f"body: is larger than {limit} bytes",
+        outcomes.Step.RECEIVE,
+        not_run=True,
+    )
+
+
+def _too_many_connections() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.OVERLOADED,
+        "too many open connections; come back later",
+        outcomes.Step.RECEIVE,
+        not_run=True,
+        retry_after_ms=1_000,
+    )
+
+
+def _internal() -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.INTERNAL,
+        "an error of this instance; its log names the request",
+        outcomes.Step.RECEIVE,
+        not_run=False,
+    )
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/changes.py
@@ -0,0 +1,285 @@
+"""Operators' changes: written once, and followed until they are in force."""
+
+import dataclasses
+import typing
+
+import structlog
+
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import gossip as gossips
+from cardamom_daemon import keyring
+from cardamom_daemon import messages
+from cardamom_daemon import table_sync
+from cardamom_kernel import ids
+from cardamom_kernel import outcomes
+from cardamom_kernel import rosters
+from cardamom_kernel import tables
+
+LOG = structlog.get_logger("cardamom.changes")
+
+WRITE_TRIES = 5
+IN_FORCE_WAIT_MS = 12_000
+WITHDRAW_WAIT_MS = 4_500
+CHECK_MS = 100
+KEPT_APPLIES = 50
+
+Json = dict[str, typing.Any]
+Body = typing.Mapping[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Written:
+    """A document's version after a write, and who wrote it."""
+
+    version: int
+    body: Body
+
+
+class Changes:
+    """Carries out operators' changes at this instance."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        gossip: gossips.Gossip,
+        sync: table_sync.TableSync,
+    ) -> None:
+        self._fleet = fleet
+        self._gossip = gossip
+        self._sync = sync
+
+    async def apply(
+        self,
+        configuration: Json,
+        based_on: int,
+        apply_id: str,
+    ) -> Json:
+        """Accept a configuration and wait until it is in force.
+
+        Raises outcomes.Refused for the loser of a race, which is told who
+        won, and if the table gives no answer.
+        """
+
+        def change(body: Body, version: int) -> Body | None:
+            applies = list(body.get("applies", ()))
+            if any(entry["id"] == apply_id for entry in applies):
+                return None
+            if version != based_on:
+                raise outcomes.Refused(_lost_race(based_on, version, applies))
+            applies.append({"id": apply_id, "version": version + 1})
+            return {
+                "configuration": configuration,
+                "applies": applies[-KEPT_APPLIES:],
+            }
+
+        written = await self._edit(fleets.CONFIG, change)
+        version = next(
+            entry["version"]
+            for entry in written.body["applies"]
+            if entry["id"] == apply_id
+        )
+        LOG.info("changes: configuration accepted", version=version)
+        return await self._until_in_force(fleets.CONFIG, version)
+
+    async def create_key(self, team: ids.TeamId, label: str) -> Json:
+        """Create a key and return it, this once, with its record."""
+        if team not in self._fleet.catalog.configuration.teams:
+            raise outcomes.Refused(
+                _refusal(
+                    outcomes.Code.NOT_FOUND,
+                    f"team: {team!r} is not configured",
+                )
+            )
+        key, record = keyring.make_key(team, label)
+
+        def change(body: Body, version: int) -> Body | None:
+            keys = list(body.get("keys", ()))
+            if any(item["id"] == record.id for item in keys):
+                return None
+            return {"keys": [*keys, dataclasses.asdict(record)]}
+
+        written = await self._edit(fleets.KEYS, change)
+        LOG.info("changes: key created", key_id=record.id, team=team)
+        in_force = await self._until_in_force(fleets.KEYS, written.version)
+        return {"key": key, "id": record.id, "team": team, **in_force}
+
+    async def withdraw_key(self, key: ids.KeyId) -> Json:
+        """Withdraw a key everywhere and say how far that has come.
+
+        It is in force once every instance that could still act without
+        knowing it has ceased to be fresh.
+        """
+        fleet = self._fleet
+        started_ms = fleet.clock.now_ms()
+        known = {record.id for record in fleet.keyring.records()}
+        if key not in known and key not in fleet.withdrawn:
+            raise outcomes.Refused(
+                _refusal(
+                    outcomes.Code.NOT_FOUND,
+                    f"key: {key!r} is not known; see cardamomctl key list",
+                )
+            )
+        fleet.withdraw([key])
+        state = await self._spread_withdrawal(started_ms)
+        durable = not fleet.withdrawn.pending()
+        LOG.info(
+            "changes: key withdrawn",
+            key_id=key,
+            in_force=state["in_force"],
+            durable=durable,
+        )
+        return {"id": key, "durable": durable, **state}
+
+    async def drain_target(self, target: str, is_draining: bool) -> Json:
+        """Stop, or resume, giving new work to a target."""
+        if target not in self._fleet.catalog.configuration.targets:
+            raise outcomes.Refused(
+                _refusal(
+                    outcomes.Code.NOT_FOUND,
+                    f"target: {target!r} is not configured",
+                )
+            )
+
+        def change(body: Body, version: int) -> Body | None:
+            targets = set(body.get("targets", ()))
+            if (target in targets) is is_draining:
+                return None
+            return {"targets": sorted(targets ^ {target})}
+
+        written = await self._edit(fleets.DRAINS, change)
+        in_force = await self._until_in_force(fleets.DRAINS, written.version)
+        return {"target": target, "draining": is_draining, **in_force}
+
+    async def _edit(
+        self,
+        name: str,
+        change: typing.Callable[[Body, int], Body | None],
+    ) -> Written:
+        """Write a changed document; an answer lost is resolved by reading.
+
+        ``change`` returns None if the document holds the change already.
+        """
+        for _ in range(WRITE_TRIES):
+            if not await self._sync.poll():
+                break
+            document = self._fleet.documents.get(name)
+            version = document.version if document else 0
+            body: Body = document.body if document else {}
+            changed = change(body, version)
+            if changed is None:
+                return Written(version, body)
+            state = await self._sync.write_document(name, changed, version)
+            if state is tables.CommitState.COMMITTED:
+                return Written(version + 1, changed)
+        raise outcomes.Refused(
+            outcomes.Refusal(
+                outcomes.Code.UNAVAILABLE,
+                "the table gave no answer; the change may or may not have "
+                "been accepted: repeat it with the same id, or read the "
+                "status",
+                outcomes.Step.OPERATE,
+                not_run=False,
+                retry_after_ms=CHECK_MS * 10,
+            )
+        )
+
+    async def _until_in_force(self, name: str, version: int) -> Json:
+        """Wait until every live instance holds a version."""
+        clock = self._fleet.clock
+        start_ms = clock.now_ms()
+        while True:
+            behind = [
+                peer.heartbeat.instance
+                for peer in self._gossip.live()
+                if peer.heartbeat
+                and peer.heartbeat.version_by_document.get(name, 0) < version
+            ]
+            instances = len(self._gossip.live()) + 1
+            waited_ms = clock.now_ms() - start_ms
+            if not behind or waited_ms >= IN_FORCE_WAIT_MS:
+                return {
+                    "version": version,
+                    "in_force": not behind,
+                    "instances": instances,
+                    "behind": behind,
+                    "waited_ms": waited_ms,
+                }
+            await clock.sleep_ms(CHECK_MS)
+
+    async def _spread_withdrawal(self, started_ms: int) -> Json:
+        """Tell peers and table, until the withdrawal is in force.
+
+        Beside the table a smaller quorum of seats is enough, since whoever
+        is fresh by the table has read it.
+        """
+        fleet = self._fleet
+        acknowledged: set[str] = {fleet.instance}
+        quorum_ms: int | None = None
+        while True:
+            message = messages.Withdrawals(fleet.withdrawn.members())
+            acknowledged |= set(
+                await self._gossip.tell_all("/peer/v1/withdrawn", message)
+            )
+            durable = await self._sync.write_withdrawals()
+            now_ms = fleet.clock.now_ms()
+            if quorum_ms is None and self._is_quorum(acknowledged, durable):
+                quorum_ms = now_ms
+            period_ms = fleet.settings.freshness_ms
+            settled = quorum_ms is not None and now_ms >= quorum_ms + period_ms
+            in_force = settled or self._is_everyone(acknowledged)
+            waited_ms = now_ms - started_ms
+            if in_force or waited_ms >= WITHDRAW_WAIT_MS:
+                return {
+                    "in_force": in_force,
+                    "acknowledged": sorted(acknowledged),
+                    "waited_ms": waited_ms,
+                }
+            await fleet.clock.sleep_ms(CHECK_MS)
+
+    def _is_everyone(self, acknowledged: set[str]) -> bool:
+        """Tell whether all seats, and all live instances, know."""
+        holders = {seat.holder for seat in self._fleet.seats()}
+        live = {
+            peer.heartbeat.instance
+            for peer in self._gossip.live()
+            if peer.heartbeat
+        }
+        return (holders | live) <= acknowledged
+
+    def _is_quorum(self, acknowledged: set[str], durable: bool) -> bool:
+        roster = self._fleet.roster
+        if roster is None:
+            return False
+        knowing = {
+            seat.id
+            for seat in self._fleet.seats()
+            if seat.holder in acknowledged
+        }
+        for seats in roster.voter_sets():
+            needed = (
+                rosters.quorum_with_table(len(seats))
+                if durable
+                else rosters.quorum_without_table(len(seats))
+            )
+            if len(seats & knowing) < needed:
+                return False
+        return True
+
+
+def _refusal(code: outcomes.Code, message: str) -> outcomes.Refusal:
+    return outcomes.Refusal(code, message, outcomes.Step.OPERATE, not_run=True)
+
+
+def _lost_race(
+    based_on: int,
+    version: int,
+    applies: list[Json],
+) -> outcomes.Refusal:
+    winner = applies[-1]["id"] if applies else "nobody"
+    return outcomes.Refusal(
+        outcomes.Code.CONFLICT,
+        f"the configuration is at version {version}, written by apply "
+        f"{winner}, not at {based_on}; run diff and apply again",
+        outcomes.Step.CONFIGURE,
+        not_run=True,
+    )
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/keyring.py
@@ -0,0 +1,60 @@
+"""Callers' keys: made, kept as hashes, and looked up."""
+
+import dataclasses
+import hashlib
+import secrets
+import typing
+
+from cardamom_kernel import ids
+
+KEY_PREFIX = "ck-"
+KEY_BYTES = 24
+KEY_ID_LENGTH = 16
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyRecord:
+    """One key as it is kept: the id is a part of the hash."""
+
+    id: ids.KeyId
+    team: ids.TeamId
+    key_hash: str
+    label: str = ""
+
+
+def make_key(team: ids.TeamId, label: str) -> tuple[str, KeyRecord]:
+    """Return a new key, to be shown once, and the record that is kept."""
+    key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    key_hash = hash_key(key)
+    key_id = ids.KeyId(key_hash[:KEY_ID_LENGTH])
+    return key, KeyRecord(key_id, team, key_hash, label)
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which a key is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Keyring:
+    """The records of all keys, replaced whole by each new document."""
+
+    def __init__(self) -> None:
+        self._by_hash: dict[str, KeyRecord] = {}
+
+    def replace(self, body: typing.Mapping[str, typing.Any]) -> None:
+        """Take the records of a keys document."""
+        records = (record_from(item) for item in body.get("keys", ()))
+        self._by_hash = {record.key_hash: record for record in records}
+
+    def find(self, key: str) -> KeyRecord | None:
+        """Return the record of a presented key, if there is one."""
+        return self._by_hash.get(hash_key(key))
+
+    def records(self) -> list[KeyRecord]:
+        """Return all records, by team and id."""
+        return sorted(self._by_hash.values(), key=lambda r: (r.team, r.id))
+
+
+def record_from(item: typing.Mapping[str, typing.Any]) -> KeyRecord:
+    """Build a record from its JSON types."""
+    return KeyRecord(**item)
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/operator_port.py
@@ -0,0 +1,246 @@
+"""The operator port: health, status, configuration, keys and drains."""
+
+import hmac
+import typing
+
+from aiohttp import web
+import orjson
+import pydantic
+import structlog
+
+from cardamom_config import diffs
+from cardamom_config import folders
+from cardamom_daemon import changes
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import status
+from cardamom_kernel import ids
+from cardamom_kernel import outcomes
+
+LOG = structlog.get_logger("cardamom.operator")
+
+OPEN_PATHS = ("/healthz", "/readyz")
+MAX_BODY_BYTES = 64 << 20
+
+
+class ApplyBody(pydantic.BaseModel):
+    """A new configuration and the version it is based on."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    configuration: dict[str, typing.Any]
+    based_on: int
+    apply_id: str
+
+
+class KeyBody(pydantic.BaseModel):
+    """The team of a new key, and a label to tell keys apart."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    team: str
+    label: str = ""
+
+
+class OperatorPort:
+    """Handlers of the operator port."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        changer: changes.Changes,
+        reporter: status.StatusReport,
+        begin_drain: typing.Callable[[], None],
+    ) -> None:
+        self._fleet = fleet
+        self._changes = changer
+        self._status = reporter
+        self._begin_drain = begin_drain
+
+    def application(self) -> web.Application:
+        """Return the web application of the port."""
+        app = web.Application(
+            middlewares=[self._guard],
+            client_max_size=MAX_BODY_BYTES,
+        )
+        app.add_routes(
+            [
+                web.get("/healthz", self._health),
+                web.get("/readyz", self._ready),
+                web.get("/v1/status", self._get_status),
+                web.get("/v1/why/{model}", self._why),
+                web.get("/v1/config", self._get_config),
+                web.put("/v1/config", self._apply),
+                web.post("/v1/config/diff", self._diff),
+                web.get("/v1/keys", self._list_keys),
+                web.post("/v1/keys", self._create_key),
+                web.post("/v1/keys/{key}/withdraw", self._withdraw_key),
+                web.post("/v1/drain", self._drain),
+                web.post("/v1/targets/{target}/drain", self._drain_target),
+                web.delete("/v1/targets/{target}/drain", self._undrain_target),
+            ]
+        )
+        return app
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: typing.Callable[
+            [web.Request], typing.Awaitable[web.StreamResponse]
+        ],
+    ) -> web.StreamResponse:
+        request_id = ids.RequestId(ids.random_id("op"))
+        try:
+            if request.path not in OPEN_PATHS:
+                self._check_key(request)
+            return await handler(request)
+        except outcomes.Refused as refused:
+            return _refuse(refused.refusal, request_id)
+        except pydantic.ValidationError as error:
+            return _refuse(_bad(_first_problem(error)), request_id)
+        except orjson.JSONDecodeError as error:
+            return _refuse(_bad(f"body: is not JSON: {error}"), request_id)
+
+    def _check_key(self, request: web.Request) -> None:
+        shown = request.headers.get("Authorization", "")
+        wanted = f"Bearer {self._fleet.settings.operator_key}"
+        if not hmac.compare_digest(shown.encode(), wanted.encode()):
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.UNAUTHORIZED,
+                    "the operator key is missing or wrong",
+                    outcomes.Step.OPERATE,
+                    not_run=True,
+                )
+            )
+
+    async def _health(self, _: web.Request) -> web.Response:
+        return _reply({"instance": self._fleet.instance})
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        ready = self._fleet.is_ready()
+        body = {
+            "ready": ready,
+            "fresh": self._fleet.is_fresh(),
+            "draining": self._fleet.is_draining,
+            "config": self._fleet.documents.version(fleets.CONFIG),
+        }
+        return _reply(body, 200 if ready else 503)
+
+    async def _get_status(self, _: web.Request) -> web.Response:
+        return _reply(self._status.make())
+
+    async def _why(self, request: web.Request) -> web.Response:
+        return _reply(await self._status.explain(request.match_info["model"]))
+
+    async def _get_config(self, _: web.Request) -> web.Response:
+        document = self._fleet.documents.get(fleets.CONFIG)
+        body = document.body["configuration"] if document else {}
+        version = document.version if document else 0
+        return _reply({"version": version, "configuration": body})
+
+    async def _diff(self, request: web.Request) -> web.Response:
+        new = orjson.loads(await request.read())
+        document = self._fleet.documents.get(fleets.CONFIG)
+        old = document.body["configuration"] if document else {}
+        lines = [str(difference) for difference in diffs.diff(old, new)]
+        version = document.version if document else 0
+        return _reply({"version": version, "differences": lines})
+
+    async def _apply(self, request: web.Request) -> web.Response:
+        body = ApplyBody.model_validate_json(await request.read())
+        loaded = folders.check_body(body.configuration)
+        if loaded.configuration is None:
+            text = "; ".join(str(problem) for problem in loaded.problems)
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.INVALID_CONFIGURATION,
+                    text,
+                    outcomes.Step.CONFIGURE,
+                    not_run=True,
+                )
+            )
+        tree = loaded.configuration.model_dump(mode="json")
+        accepted = await self._changes.apply(
+            tree,
+            body.based_on,
+            body.apply_id,
+        )
+        return _reply(accepted)
+
+    async def _list_keys(self, _: web.Request) -> web.Response:
+        keys = [
+            {
+                "id": record.id,
+                "team": record.team,
+                "label": record.label,
+                "withdrawn": record.id in self._fleet.withdrawn,
+            }
+            for record in self._fleet.keyring.records()
+        ]
+        return _reply({"keys": keys})
+
+    async def _create_key(self, request: web.Request) -> web.Response:
+        body = KeyBody.model_validate_json(await request.read())
+        created = await self._changes.create_key(
+            ids.TeamId(body.team),
+            body.label,
+        )
+        return _reply(created, 201)
+
+    async def _withdraw_key(self, request: web.Request) -> web.Response:
+        key = ids.KeyId(request.match_info["key"])
+        return _reply(await self._changes.withdraw_key(key))
+
+    async def _drain(self, _: web.Request) -> web.Response:
+        LOG.info("operator: drain begun")
+        self._begin_drain()
+        return _reply({"instance": self._fleet.instance, "draining": True})
+
+    async def _drain_target(self, request: web.Request) -> web.Response:
+        target = request.match_info["target"]
+        return _reply(await self._changes.drain_target(target, True))
+
+    async def _undrain_target(self, request: web.Request) -> web.Response:
+        target = request.match_info["target"]
+        return _reply(await self._changes.drain_target(target, False))
+
+
+def _reply(body: object, status_code: int = 200) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body),
+        status=status_code,
+        content_type="application/json",
+    )
+
+
+def _refuse(
+    refusal: outcomes.Refusal,
+    request_id: ids.RequestId,
+) -> web.Response:
+    body = {
+        "error": {
+            "code": refusal.code.value,
+            "message": refusal.message,
+            "not_run": refusal.not_run,
+            "step": refusal.step.value,
+            "peer": refusal.peer,
+            "request_id": request_id,
+        }
+    }
+    return _reply(body, refusal.status)
+
+
+def _bad(message: str) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.BAD_REQUEST,
+        message,
+        outcomes.Step.OPERATE,
+        not_run=True,
+    )
+
+
+def _first_problem(error: pydantic.ValidationError) -> str:
+    first = error.errors()[0]
+    field = ".".join(str(part) for part in first["loc"])
+    return f"{field or 'body'}: {first['msg']}"
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
@@ -0,0 +1,206 @@
+"""Plain calls that may be repeated: retried on another target if need be."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+from aiohttp import web
+
+from cardamom_config import schema
+from cardamom_daemon import callers
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import targets as target_module
+from cardamom_kernel import ids
+from cardamom_kernel import outcomes
+from cardamom_kernel import telemetry
+from cardamom_policy import retries
+from cardamom_policy import routing
+
+MAX_ATTEMPTS = 3
+MAX_ANSWER_BYTES = 32 << 20
+REQUEST_ID_HEADER = "X-Request-Id"
+RETURNED_HEADERS = (
+    "Content-Type",
+    "Content-Encoding",
+    "Cache-Control",
+    "ETag",
+    "Last-Modified",
+    "Location",
+)
+FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainCall:
+    """One plain call as it travels to a target."""
+
+    id: ids.RequestId
+    route_name: str
+    route: schema.Route
+    method: str
+    path: str
+    query: tuple[tuple[str, str], ...]
+    headers: dict[str, str]
+    body: bytes
+    deadline_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PlainAnswer:
+    """A whole answer of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def to_response(self, request: ids.RequestId) -> web.Response:
+        """Return the answer for the caller."""
+        headers = {**self.headers, REQUEST_ID_HEADER: request}
+        telemetry.PROPAGATOR.inject(headers)
+        return web.Response(
+            status=self.status,
+            headers=headers,
+            body=self.body,
+        )
+
+
+class PlainCalls:
+    """Runs idempotent plain calls."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        book: target_module.TargetBook,
+        budget: retries.RetryBudget,
+    ) -> None:
+        self._fleet = fleet
+        self._book = book
+        self._budget = budget
+
+    async def run(
+        self,
+        call: PlainCall,
+        caller: callers.Caller | None,
+    ) -> PlainAnswer:
+        """Return the answer of some target; raises outcomes.Refused."""
+        self._budget.earn()
+        tried: set[ids.TargetId] = set()
+        ran = False
+        message, peer, step = "no target is up", "-", outcomes.Step.ROUTE
+        for _ in range(MAX_ATTEMPTS):
+            target = choose_service(self._book, call.route.group, tried)
+            if target is None:
+                break
+            if caller is not None:
+                callers.recheck(self._fleet, caller)
+            try:
+                return await self._attempt(call, target)
+            except aiohttp.ClientConnectorError as error:
+                self._book.note_failure(target)
+                step, message, peer = (
+                    outcomes.Step.CONNECT,
+                    repr(error),
+                    target.id,
+                )
+            except FAILURES as error:
+                ran = True
+                target.pool.replace()
+                step, message, peer = (
+                    outcomes.Step.FIRST_BYTE,
+                    repr(error),
+                    target.id,
+                )
+                if not self._budget.take():
+                    break
+            tried.add(target.id)
+            self._fleet.metrics.count("plain.retry")
+        raise outcomes.Refused(
+            outcomes.Refusal(
+                outcomes.Code.TARGET_FAILED
+                if ran
+                else outcomes.Code.NO_TARGET,
+                f"no target of {call.route.group!r} answered: {message}",
+                step,
+                not_run=not ran,
+                peer=peer,
+                retry_after_ms=1_000,
+            )
+        )
+
+    async def _attempt(
+        self,
+        call: PlainCall,
+        target: target_module.Target,
+    ) -> PlainAnswer:
+        self._book.begin(target, call.id, "", False)
+        started_ms = self._fleet.clock.now_ms()
+        timeout_s = max(0.001, (call.deadline_ms - started_ms) / 1000)
+        try:
+            answer = await send(
+                target.pool.session,
+                call,
+                target,
+                timeout_s / MAX_ATTEMPTS,
+                self._fleet,
+            )
+        finally:
+            self._book.end(target, call.id)
+        target.latency.observe(self._fleet.clock.now_ms() - started_ms)
+        return answer
+
+
+def choose_service(
+    book: target_module.TargetBook,
+    group: str,
+    exclude: set[ids.TargetId],
+) -> target_module.Target | None:
+    """Return the service of a group that should take the next call."""
+    candidates = book.candidates(book.services(group), {})
+    chosen = routing.choose(candidates, exclude=exclude)
+    return book.by_id[chosen.id] if chosen else None
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    call: PlainCall,
+    target: target_module.Target,
+    timeout_s: float,
+    fleet: fleets.Fleet,
+) -> PlainAnswer:
+    """Send a call once and return the whole answer.
+
+    Raises aiohttp.ClientConnectorError if no byte was sent, else one of
+    FAILURES.
+    """
+    headers = {**call.headers, REQUEST_ID_HEADER: call.id}
+    with fleet.tracer.start_as_current_span(
+        "target",
+        attributes={"target": target.id, "request": call.id},
+    ):
+        telemetry.PROPAGATOR.inject(headers)
+        async with session.request(
+            call.method,
+            target.spec.url + call.path,
+            params=list(call.query),
+            headers=headers,
+            data=call.body or None,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
+        ) as response:
+            answered = response.headers.get(REQUEST_ID_HEADER, call.id)
+            if answered != call.id:
+                raise aiohttp.ClientPayloadError("answer of another request")
+            body = await response.content.read(MAX_ANSWER_BYTES + 1)
+            while not response.content.at_eof():
+                body += await response.content.read(MAX_ANSWER_BYTES + 1)
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise aiohttp.ClientPayloadError("answer is too large")
+            return PlainAnswer(
+                response.status,
+                {
+                    name: response.headers[name]
+                    for name in RETURNED_HEADERS
+                    if name in response.headers
+                },
+                body,
+            )
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/share_broker.py
@@ -0,0 +1,252 @@
+"""Borrowing shares between instances, and reconciling what was lost."""
+
+import asyncio
+import collections
+import typing
+
+import structlog
+
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import gossip as gossips
+from cardamom_daemon import messages
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import shares
+
+LOG = structlog.get_logger("cardamom.shares")
+
+ASK_TIMEOUT_S = 0.25
+BORROW_FACTOR = 1.25
+MISSING_FOR_MS = 1_500
+DRY_MS = 50
+RETRY_FLOOR_MS = 100
+
+
+class ShareBroker:
+    """Charges the own shares, and asks peers where they fall short."""
+
+    def __init__(self, fleet: fleets.Fleet, gossip: gossips.Gossip) -> None:
+        self._fleet = fleet
+        self._gossip = gossip
+        self._lock_by_team: dict[ids.TeamId, asyncio.Lock] = (
+            collections.defaultdict(asyncio.Lock)
+        )
+        self._dry_until_ms: dict[ids.TeamId, int] = {}
+        self._complete_ms: int = clocks.NEVER_MS
+
+    async def charge(
+        self,
+        team: ids.TeamId,
+        tokens: float,
+    ) -> shares.Loan | shares.Shortfall:
+        """Reserve tokens, if need be with what peers can spare."""
+        book = self._fleet.shares
+        outcome = book.charge(team, tokens)
+        if isinstance(outcome, shares.Loan) or not outcome.attainable:
+            return outcome
+        if not self._fleet.may_hold_shares():
+            return outcome
+        async with self._lock_by_team[team]:
+            outcome = book.charge(team, tokens)
+            if isinstance(outcome, shares.Loan) or self._is_dry(team):
+                return outcome
+            for peer in self._lenders(team):
+                await self._borrow(peer, team, outcome.missing_tokens)
+                outcome = book.charge(team, tokens)
+                if isinstance(outcome, shares.Loan):
+                    return outcome
+            self._dry_until_ms[team] = self._fleet.clock.now_ms() + DRY_MS
+            return outcome
+
+    def retry_after_ms(self, team: ids.TeamId, missing_tokens: float) -> int:
+        """Return when the fleet's rate will have made up what is missing."""
+        spec = self._fleet.catalog.configuration.teams.get(team)
+        if spec is None:
+            return RETRY_FLOOR_MS
+        wait_ms = missing_tokens / spec.rate_tokens_per_s * 1000
+        return max(RETRY_FLOOR_MS, round(wait_ms))
+
+    async def give_away(self) -> None:
+        """Hand all shares to a live peer at a planned stop."""
+        peers = [p for p in self._gossip.live() if self._can_trade(p)]
+        if not peers:
+            return
+        peer = peers[0]
+        for grant in self._fleet.shares.give_all(ids.random_id("give")):
+            await self._give(peer, grant)
+
+    async def reconcile(self) -> None:
+        """Run a round if units are missing and this seat coordinates."""
+        now_ms = self._fleet.clock.now_ms()
+        seats = self._peers_by_seat()
+        if seats is None or not self._is_coordinator(seats):
+            self._complete_ms = now_ms
+            return
+        state = self._state_of_units(seats)
+        if state == "complete":
+            self._complete_ms = now_ms
+        waited_ms = now_ms - self._complete_ms
+        if state == "unseeded" or waited_ms >= MISSING_FOR_MS:
+            await self._run_round(seats)
+            self._complete_ms = self._fleet.clock.now_ms()
+
+    def _is_dry(self, team: ids.TeamId) -> bool:
+        return self._fleet.clock.now_ms() < self._dry_until_ms.get(team, 0)
+
+    def _lenders(self, team: ids.TeamId) -> list[gossips.Peer]:
+        """Return the peers that may spare tokens, the richest first."""
+
+        def level(peer: gossips.Peer) -> float:
+            assert peer.heartbeat is not None
+            return peer.heartbeat.level_by_team.get(team, 0.0)
+
+        peers = [p for p in self._gossip.live() if self._can_trade(p)]
+        return sorted(peers, key=level, reverse=True)
+
+    def _can_trade(self, peer: gossips.Peer) -> bool:
+        beat = peer.heartbeat
+        return beat is not None and bool(beat.seat) and not beat.is_leaving
+
+    async def _borrow(
+        self,
+        peer: gossips.Peer,
+        team: ids.TeamId,
+        missing_tokens: float,
+    ) -> None:
+        ask = shares.Ask(
+            ids.random_id("ask"),
+            self._fleet.shares.round,
+            team,
+            missing_tokens * BORROW_FACTOR,
+        )
+        try:
+            answer = await self._gossip.call(
+                peer,
+                "/peer/v1/shares/ask",
+                ask,
+                messages.GrantAnswer,
+                ASK_TIMEOUT_S,
+            )
+        except gossips.PeerFailed:
+            self._fleet.metrics.count("shares.ask_failed")
+            return
+        if answer.grant is not None and self._fleet.may_hold_shares():
+            self._fleet.shares.credit(answer.grant)
+            self._fleet.metrics.count("shares.borrowed")
+
+    async def _give(self, peer: gossips.Peer, grant: shares.Grant) -> None:
+        try:
+            await self._gossip.call(
+                peer,
+                "/peer/v1/shares/give",
+                grant,
+                messages.Accepted,
+            )
+        except gossips.PeerFailed as failure:
+            LOG.warning("shares: gift lost", peer=str(failure))
+
+    def _peers_by_seat(self) -> dict[ids.SeatId, gossips.Peer] | None:
+        """Return the live peer of every other seat, or None for a gap."""
+        fleet = self._fleet
+        if not (fleet.is_fresh() and fleet.is_roster_in_force):
+            return None
+        if fleet.own_seat is None or fleet.is_draining:
+            return None
+        found: dict[ids.SeatId, gossips.Peer] = {}
+        for seat in fleet.seats():
+            if seat.id == fleet.own_seat:
+                continue
+            peer = self._gossip.find(seat.holder)
+            if peer is None:
+                return None
+            found[seat.id] = peer
+        return found
+
+    def _is_coordinator(self, seats: dict[ids.SeatId, gossips.Peer]) -> bool:
+        return all(str(self._fleet.own_seat) < str(seat) for seat in seats)
+
+    def _state_of_units(
+        self,
+        seats: dict[ids.SeatId, gossips.Peer],
+    ) -> typing.Literal["complete", "missing", "unseeded"]:
+        totals: collections.Counter[str] = collections.Counter()
+        totals.update(
+            {
+                str(team): units
+                for team, units in self._fleet.shares.units_by_team().items()
+            }
+        )
+        for peer in seats.values():
+            assert peer.heartbeat is not None
+            totals.update(peer.heartbeat.units_by_team)
+        teams = self._fleet.catalog.configuration.teams
+        if any(totals[team] == 0 for team in teams):
+            return "unseeded"
+        if any(totals[team] < shares.TOTAL_UNITS for team in teams):
+            return "missing"
+        return "complete"
+
+    async def _run_round(
+        self,
+        seats: dict[ids.SeatId, gossips.Peer],
+    ) -> None:
+        fleet = self._fleet
+        epoch = fleet.roster.epoch if fleet.roster else 0
+        wanted = shares.Round(
+            fleet.shares.round.number + 1,
+            fleet.instance,
+        )
+        own = fleet.shares.join(wanted)
+        assert own is not None
+        calls = [
+            self._gossip.call(
+                peer,
+                "/peer/v1/shares/round",
+                messages.RoundWanted(wanted),
+                messages.RoundAnswer,
+            )
+            for peer in seats.values()
+        ]
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        reports = [own]
+        for seat, answer in zip(seats, answers):
+            if not isinstance(answer, messages.RoundAnswer):
+                return
+            if answer.seat != seat or answer.report is None:
+                return
+            reports.append(answer.report)
+        if not self._may_mint(epoch):
+            return
+        minted = fleet.shares.mint(reports)
+        if minted:
+            LOG.info("shares: minted", round=wanted.number, units=minted)
+            fleet.metrics.count("shares.minted")
+        await self._spread(minted, list(seats.values()))
+
+    def _may_mint(self, epoch: int) -> bool:
+        """Check at the act that the seats asked are still all holders."""
+        fleet = self._fleet
+        return (
+            fleet.is_fresh()
+            and fleet.roster is not None
+            and fleet.roster.epoch == epoch
+            and fleet.is_roster_in_force
+            and fleet.own_seat is not None
+        )
+
+    async def _spread(
+        self,
+        minted: dict[ids.TeamId, int],
+        peers: list[gossips.Peer],
+    ) -> None:
+        """Give each peer an equal part of what was minted."""
+        for team, units in minted.items():
+            part = units // (len(peers) + 1)
+            for peer in peers:
+                grant = self._fleet.shares.give_units(
+                    ids.random_id("give"),
+                    team,
+                    part,
+                )
+                if grant is not None:
+                    await self._give(peer, grant)
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/single_calls.py
@@ -0,0 +1,317 @@
+"""Plain calls that must not be repeated: claimed before they are sent."""
+
+import asyncio
+import base64
+import dataclasses
+import typing
+
+import aiohttp
+import orjson
+import structlog
+
+from cardamom_daemon import callers
+from cardamom_daemon import fleet as fleets
+from cardamom_daemon import gossip as gossips
+from cardamom_daemon import plain_calls
+from cardamom_daemon import targets as target_module
+from cardamom_kernel import claims
+from cardamom_kernel import ids
+from cardamom_kernel import outcomes
+from cardamom_kernel import tasks
+from cardamom_platform import interfaces
+from cardamom_platform import pools
+
+LOG = structlog.get_logger("cardamom.single")
+
+MAX_KEY_LENGTH = 255
+MAX_INLINE_BYTES = 32 << 10
+RECORD_TRIES = 40
+RECORD_WAIT_S = 1.0
+RECORD_PAUSE_MS = 1_500
+CLAIM_RETRY_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class SingleCall:
+    """A call that may run once, with its caller and claim."""
+
+    plain: plain_calls.PlainCall
+    caller: callers.Caller
+    attempt: claims.Attempt
+
+
+class SingleCalls:
+    """Runs non-idempotent calls at most once."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        book: target_module.TargetBook,
+        objects: interfaces.ObjectStore | None,
+        gossip: gossips.Gossip,
+        group: tasks.TaskGroup,
+    ) -> None:
+        self._fleet = fleet
+        self._book = book
+        self._objects = objects
+        self._gossip = gossip
+        self._group = group
+        self._claims = claims.Claims(fleet.table)
+        self._pool = pools.Pool(pools.PoolSettings(reuse=False))
+        self.in_flight = 0
+
+    async def close(self) -> None:
+        """Close the pool."""
+        await self._pool.close()
+
+    def make(
+        self,
+        plain: plain_calls.PlainCall,
+        caller: callers.Caller,
+        idempotency_key: str,
+    ) -> SingleCall:
+        """Return a call with a fresh attempt; raises outcomes.Refused."""
+        if not idempotency_key:
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.IDEMPOTENCY_KEY_REQUIRED,
+                    "Idempotency-Key: is required on this route",
+                    outcomes.Step.RECEIVE,
+                    not_run=True,
+                )
+            )
+        if len(idempotency_key) > MAX_KEY_LENGTH or callers.looks_like_key(
+            idempotency_key
+        ):
+            raise outcomes.Refused(
+                outcomes.Refusal(
+                    outcomes.Code.BAD_REQUEST,
+                    f"Idempotency-Key: at most {MAX_KEY_LENGTH} characters, "
+                    "and not a caller's key",
+                    outcomes.Step.RECEIVE,
+                    not_run=True,
+                )
+            )
+        body_hash = claims.hash_body(
+            plain.method.encode(),
+            plain.path.encode(),
+            orjson.dumps(plain.query),
+            plain.body,
+        )
+        attempt = claims.Attempt(
+            ids.AttemptId(ids.random_id("try")),
+            caller.team,
+            idempotency_key,
+            body_hash,
+            self._fleet.instance,
+        )
+        return SingleCall(plain, caller, attempt)
+
+    async def run(self, call: SingleCall) -> plain_calls.PlainAnswer:
+        """Return the first answer of a call; raises outcomes.Refused.
+
+        The work goes on to its end if the caller disconnects.
+        """
+        return await asyncio.shield(self._group.once(self._counted(call)))
+
+    async def _counted(self, call: SingleCall) -> plain_calls.PlainAnswer:
+        self.in_flight += 1
+        try:
+            return await self._run(call)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, call: SingleCall) -> plain_calls.PlainAnswer:
+        group = call.plain.route.group
+        target = plain_calls.choose_service(self._book, group, set())
+        if target is None:
+            raise _refused(
+                outcomes.Code.NO_TARGET,
+                f"no target of {group!r} is up",
+                outcomes.Step.ROUTE,
+                not_run=True,
+                retry_after_ms=CLAIM_RETRY_MS,
+            )
+        decision = await self._claims.claim(call.attempt)
+        if decision.verdict is not claims.Verdict.GRANTED:
+            return await self._not_granted(call, decision)
+        try:
+            callers.recheck(self._fleet, call.caller)
+        except outcomes.Refused:
+            await self._record(call, claims.ClaimState.RELEASED)
+            raise
+        return await self._send(call, target)
+
+    async def _send(
+        self,
+        call: SingleCall,
+        target: target_module.Target,
+    ) -> plain_calls.PlainAnswer:
+        """Send once, on a new connection, and record how it ended."""
+        self._book.begin(target, call.plain.id, "", False)
+        timeout_s = call.plain.route.timeout_ms / 1000
+        try:
+            answer = await plain_calls.send(
+                self._pool.session,
+                call.plain,
+                target,
+                timeout_s,
+                self._fleet,
+            )
+        except aiohttp.ClientConnectorError as error:
+            self._book.note_failure(target)
+            await self._record(call, claims.ClaimState.RELEASED)
+            raise _refused(
+                outcomes.Code.NO_TARGET,
+                f"no connection to the target: {error!r}",
+                outcomes.Step.CONNECT,
+                not_run=True,
+                peer=target.id,
+                retry_after_ms=CLAIM_RETRY_MS,
+            ) from error
+        except plain_calls.FAILURES as error:
+            await self._record(call, claims.ClaimState.UNKNOWN)
+            raise _refused(
+                outcomes.Code.OUTCOME_UNKNOWN,
+                f"the target may have run the call: {error!r}",
+                outcomes.Step.SEND,
+                not_run=False,
+                peer=target.id,
+            ) from error
+        finally:
+            self._book.end(target, call.plain.id)
+        stored = await self._pack(call, answer)
+        await self._record(call, claims.ClaimState.DONE, stored)
+        return answer
+
+    async def _record(
+        self,
+        call: SingleCall,
+        state: claims.ClaimState,
+        answer: dict[str, typing.Any] | None = None,
+    ) -> None:
+        """Store the outcome before the caller hears of it.
+
+        If the table is slow, the answer goes out and the record follows.
+        """
+        work = self._record_until_stored(call, state, answer)
+        task = self._group.once(work)
+        await asyncio.wait([task], timeout=RECORD_WAIT_S)
+
+    async def _record_until_stored(
+        self,
+        call: SingleCall,
+        state: claims.ClaimState,
+        answer: dict[str, typing.Any] | None,
+    ) -> None:
+        for _ in range(RECORD_TRIES):
+            if await self._claims.finish(call.attempt, state, answer):
+                return
+            await self._fleet.clock.sleep_ms(RECORD_PAUSE_MS)
+        LOG.warning("single: outcome not stored", attempt=call.attempt.id)
+
+    async def _pack(
+        self,
+        call: SingleCall,
+        answer: plain_calls.PlainAnswer,
+    ) -> dict[str, typing.Any]:
+        stored: dict[str, typing.Any] = {
+            "status": answer.status,
+            "headers": answer.headers,
+        }
+        if len(answer.body) <= MAX_INLINE_BYTES or self._objects is None:
+            stored["body"] = base64.b64encode(answer.body).decode()
+            return stored
+        stored["object"] = f"answers/{call.attempt.id}"
+        try:
+            await self._objects.put(stored["object"], answer.body)
+        except interfaces.ObjectsUnavailable as error:
+            LOG.warning("single: answer not stored", error=repr(error))
+        return stored
+
+    async def _unpack(
+        self,
+        stored: typing.Mapping[str, typing.Any],
+    ) -> plain_calls.PlainAnswer:
+        body = base64.b64decode(stored.get("body", ""))
+        if "object" in stored and self._objects is not None:
+            try:
+                kept = await self._objects.get(stored["object"])
+            except interfaces.ObjectsUnavailable:
+                kept = None
+            if kept is None:
+                raise _refused(
+                    outcomes.Code.UNAVAILABLE,
+                    "the call ran, but its answer cannot be read now",
+                    outcomes.Step.CLAIM,
+                    not_run=False,
+                    retry_after_ms=CLAIM_RETRY_MS,
+                )
+            body = kept
+        return plain_calls.PlainAnswer(
+            stored["status"],
+            dict(stored["headers"]),
+            body,
+        )
+
+    async def _not_granted(
+        self,
+        call: SingleCall,
+        decision: claims.Decision,
+    ) -> plain_calls.PlainAnswer:
+        verdict = decision.verdict
+        if verdict is claims.Verdict.ANSWERED and decision.answer is not None:
+            return await self._unpack(decision.answer)
+        if verdict is claims.Verdict.KEY_REUSED:
+            raise _refused(
+                outcomes.Code.IDEMPOTENCY_KEY_REUSED,
+                "Idempotency-Key: was used for a call with another content",
+                outcomes.Step.CLAIM,
+                not_run=True,
+            )
+        if verdict is claims.Verdict.UNAVAILABLE:
+            await self._record(call, claims.ClaimState.RELEASED)
+            raise _refused(
+                outcomes.Code.CLAIM_UNAVAILABLE,
+                "the call cannot be recorded now; try again later",
+                outcomes.Step.CLAIM,
+                not_run=True,
+                retry_after_ms=CLAIM_RETRY_MS,
+            )
+        if verdict is claims.Verdict.RUNNING and self._is_live(
+            decision.holder
+        ):
+            raise _refused(
+                outcomes.Code.STILL_RUNNING,
+                "the first call with this Idempotency-Key is still running",
+                outcomes.Step.CLAIM,
+                not_run=False,
+                peer=decision.holder,
+                retry_after_ms=CLAIM_RETRY_MS,
+            )
+        raise _refused(
+            outcomes.Code.OUTCOME_UNKNOWN,
+            "an earlier call with this Idempotency-Key may have run",
+            outcomes.Step.CLAIM,
+            not_run=False,
+            peer=decision.holder,
+        )
+
+    def _is_live(self, holder: ids.InstanceId) -> bool:
+        if holder == self._fleet.instance:
+            return True
+        return self._gossip.find(holder) is not None
+
+
+def _refused(
+    code: outcomes.Code,
+    message: str,
+    step: outcomes.Step,
+    not_run: bool,
+    peer: str = outcomes.NO_PEER,
+    retry_after_ms: int | None = None,
+) -> outcomes.Refused:
+    refusal = outcomes.Refusal(
+        code, message, step, not_run, peer, retry_after_ms
+    )
+    return outcomes.Refused(refusal)
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/table_sync.py
@@ -0,0 +1,146 @@
+"""Keeping documents and withdrawals in step with the table."""
+
+import typing
+
+import structlog
+
+from cardamom_daemon import fleet as fleets
+from cardamom_kernel import documents
+from cardamom_kernel import invariants
+from cardamom_kernel import tables
+
+LOG = structlog.get_logger("cardamom.table")
+
+VERSION_FIELD = "version"
+WRITE_TRIES = 4
+
+
+class TableSync:
+    """Reads the table's changes and writes what only this instance has."""
+
+    def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
+        self._row_version_by_key: dict[str, int] = {}
+        self._table_versions: dict[str, int] = {}
+        self.is_reached = False
+
+    async def poll(self) -> bool:
+        """Adopt what has changed; returns whether the table answered.
+
+        The check is linearizable, so with everything adopted it confirms
+        freshness as of its start.
+        """
+        fleet = self._fleet
+        sent_ms = fleet.clock.now_ms()
+        keys = [fleets.row_key(name) for name in fleets.DOCUMENTS]
+        keys.append(fleets.WITHDRAWN_KEY)
+        conditions = {
+            key: self._row_version_by_key.get(key, tables.ABSENT)
+            for key in keys
+        }
+        result = await fleet.table.commit(conditions, {})
+        was_reached, self.is_reached = (
+            self.is_reached,
+            result.state is not tables.CommitState.UNKNOWN,
+        )
+        if was_reached != self.is_reached:
+            LOG.info("table: reached" if self.is_reached else "table: lost")
+        if not self.is_reached:
+            fleet.metrics.count("table.unreached")
+            return False
+        for key, row in result.by_key.items():
+            self._take(key, row)
+        fleet.freshness.confirm_table(sent_ms)
+        await self._write_back()
+        return True
+
+    async def write_document(
+        self,
+        name: str,
+        body: typing.Mapping[str, typing.Any],
+        base_version: int,
+    ) -> tables.CommitState:
+        """Write a document's next version if the table still has the base.
+
+        The caller resolves UNKNOWN, which may have taken effect.
+        """
+        key = fleets.row_key(name)
+        version = base_version + 1
+        result = await self._fleet.table.commit(
+            {key: self._row_version_by_key.get(key, tables.ABSENT)},
+            {key: {**body, VERSION_FIELD: version}},
+        )
+        if result.committed:
+            self._table_versions[name] = version
+            document = documents.Document(name, version, dict(body))
+            self._fleet.documents.adopt(document)
+        return result.state
+
+    async def _write_back(self) -> None:
+        if self._fleet.withdrawn.pending():
+            await self.write_withdrawals()
+        for name in fleets.DOCUMENTS:
+            await self._restore(name)
+
+    async def write_withdrawals(self) -> bool:
+        """Make withdrawals durable; returns whether all of them are."""
+        fleet = self._fleet
+        for _ in range(WRITE_TRIES):
+            if not fleet.withdrawn.pending():
+                return True
+            members = fleet.withdrawn.members()
+            version = self._row_version_by_key.get(
+                fleets.WITHDRAWN_KEY,
+                tables.ABSENT,
+            )
+            result = await fleet.table.commit(
+                {fleets.WITHDRAWN_KEY: version},
+                {fleets.WITHDRAWN_KEY: {"keys": members}},
+            )
+            if result.committed:
+                fleet.withdraw(members, durable=True)
+                return not fleet.withdrawn.pending()
+            if result.state is tables.CommitState.UNKNOWN:
+                return False
+            for key, row in result.by_key.items():
+                self._take(key, row)
+        return False
+
+    async def _restore(self, name: str) -> None:
+        """Write a held document back to a table that has an older one.
+
+        A table that was restored from a backup must not make an accepted
+        change disappear; compare Couchbase's MB-34150, where a promoted
+        copy went back behind what it had acknowledged.
+        """
+        held = self._fleet.documents.get(name)
+        key = fleets.row_key(name)
+        if held is None or held.version <= self._table_versions.get(name, 0):
+            return
+        LOG.warning("table: behind", document=name, version=held.version)
+        self._fleet.metrics.count("table.behind")
+        await self._fleet.table.commit(
+            {key: self._row_version_by_key.get(key, tables.ABSENT)},
+            {key: {**held.body, VERSION_FIELD: held.version}},
+        )
+
+    def _take(self, key: str, row: tables.Row) -> None:
+        known = self._row_version_by_key.get(key, tables.ABSENT)
+        if row.version < known:
+            LOG.warning("table: row went back", row=key, version=row.version)
+        self._row_version_by_key[key] = row.version
+        if key == fleets.WITHDRAWN_KEY:
+            self._fleet.withdraw(row.body["keys"], durable=True)
+            return
+        name = key.partition("/")[2]
+        body = dict(row.body)
+        version = int(body.pop(VERSION_FIELD))
+        self._table_versions[name] = version
+        before = self._fleet.documents.version(name)
+        self._fleet.documents.adopt(documents.Document(name, version, body))
+        invariants.check(
+            self._fleet.documents.version(name) >= before,
+            "document.never_reverts",
+            document=name,
+            version=version,
+        )
--- /dev/null
+++ b/packages/cardamom-daemon/src/cardamom_daemon/targets.py
@@ -0,0 +1,342 @@
+"""Targets: one watch task for each, and what is known of them."""
+
+import asyncio
+import dataclasses
+import statistics
+import typing
+import urllib.parse
+
+import structlog
+
+from cardamom_config import schema
+from cardamom_daemon import catalog
+from cardamom_daemon import fleet as fleets
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import registry
+from cardamom_kernel import tasks
+from cardamom_platform import interfaces
+from cardamom_platform import pools
+from cardamom_policy import routing
+
+LOG = structlog.get_logger("cardamom.targets")
+
+WATCH_MS = 250
+STALE_STATE_MS = 3_000
+FAILURES_UNTIL_DOWN = 2
+PROBE_TIMEOUT_S = 1.0
+KNOWN_PREFIXES = 512
+
+
+@dataclasses.dataclass
+class InFlight:
+    """One request at a target, for suspicion after the target's death."""
+
+    fingerprint: str
+    is_suspect: bool
+    boot: str
+
+
+class Target:
+    """One target as this instance sees it."""
+
+    def __init__(
+        self,
+        name: str,
+        spec: schema.Target,
+        control: interfaces.EngineControl | None,
+        control_pool: pools.Pool,
+    ) -> None:
+        self.id = ids.TargetId(name)
+        self.spec = spec
+        self.pool = pools.Pool()
+        self.control_pool = control_pool
+        self.control = control
+        self.state: interfaces.EngineState | None = None
+        self.state_ms: int = clocks.NEVER_MS
+        self.up_since_ms: int = clocks.NEVER_MS
+        self.failures = 0
+        self.latency = routing.Latency()
+        self.in_flight: dict[ids.RequestId, InFlight] = {}
+        self.prefixes: dict[str, None] = {}
+        self.event_sequence = 0
+        self.reported_others = 0
+
+    @property
+    def boot(self) -> str:
+        """Return the target's present incarnation."""
+        return self.state.boot if self.state else ""
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether the target answered lately."""
+        return self.failures < FAILURES_UNTIL_DOWN
+
+    def has(self, name: catalog.ModelName) -> bool:
+        """Tell whether a model, with its adapter, was reported as ready."""
+        if self.state is None:
+            return False
+        ready = {
+            (r.model, r.adapter)
+            for r in self.state.residents
+            if r.state is interfaces.LoadState.READY
+        }
+        wanted = {(name.model, ""), (name.model, name.adapter)}
+        return wanted <= ready
+
+    async def close(self) -> None:
+        """Close the target's connections."""
+        await self.pool.close()
+        await self.control_pool.close()
+
+
+LossListener = typing.Callable[[Target, str], None]
+
+
+class TargetBook:
+    """All configured targets."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        group: tasks.TaskGroup,
+    ) -> None:
+        self._fleet = fleet
+        self._group = group
+        self._closing: set[asyncio.Task[None]] = set()
+        self.by_id: dict[ids.TargetId, Target] = {}
+        self.changed: list[typing.Callable[[], None]] = []
+        self.lost: list[LossListener] = []
+
+    def reconfigure(self) -> None:
+        """Begin and end watches so that they match the configuration."""
+        wanted = self._fleet.catalog.configuration.targets
+        for target in list(self.by_id.values()):
+            if wanted.get(target.id) != target.spec:
+                del self.by_id[target.id]
+                self._group.once(self._retire(target))
+        for name, spec in wanted.items():
+            if name not in self.by_id:
+                self._begin(name, spec)
+
+    async def close(self) -> None:
+        """Close every target's connections."""
+        for target in self.by_id.values():
+            await target.close()
+
+    def in_flight(self) -> dict[str, int]:
+        """Return this instance's requests, by target."""
+        return {
+            target.id: len(target.in_flight)
+            for target in self.by_id.values()
+            if target.in_flight
+        }
+
+    def engines(self) -> list[Target]:
+        """Return the engines, by name."""
+        return self._of_kind(schema.TargetKind.ENGINE)
+
+    def services(self, group: str) -> list[Target]:
+        """Return the plain services of a group, by name."""
+        return [
+            target
+            for target in self._of_kind(schema.TargetKind.SERVICE)
+            if target.spec.group == group
+        ]
+
+    def candidates(
+        self,
+        targets: typing.Iterable[Target],
+        others_in_flight: typing.Mapping[str, int],
+        prefix: str = "",
+    ) -> list[routing.Candidate]:
+        """Return the targets that may take work, as routing sees them."""
+        now_ms = self._fleet.clock.now_ms()
+        usable = [
+            target
+            for target in targets
+            if target.is_up and self._fleet.target_takes_work(target.id)
+        ]
+        means = [t.latency.mean_ms for t in usable]
+        known = [mean for mean in means if mean is not None]
+        median_ms = statistics.median(known) if known else None
+        local = self._fleet.settings.data_centre
+        return [
+            routing.Candidate(
+                id=target.id,
+                slots=target.spec.slots,
+                own_in_flight=len(target.in_flight),
+                others_in_flight=max(
+                    others_in_flight.get(target.id, 0),
+                    target.reported_others,
+                ),
+                is_local=target.spec.data_centre == local,
+                slowness=target.latency.slowness(median_ms),
+                up_ms=now_ms - target.up_since_ms,
+                has_prefix=bool(prefix) and prefix in target.prefixes,
+                suspects=sum(f.is_suspect for f in target.in_flight.values()),
+            )
+            for target in usable
+        ]
+
+    def begin(
+        self,
+        target: Target,
+        request: ids.RequestId,
+        fingerprint: str,
+        is_suspect: bool,
+    ) -> None:
+        """Count a request as in flight at a target."""
+        target.in_flight[request] = InFlight(
+            fingerprint,
+            is_suspect,
+            target.boot,
+        )
+
+    def end(self, target: Target, request: ids.RequestId) -> None:
+        """Count a request as no longer in flight."""
+        target.in_flight.pop(request, None)
+        self._notify()
+
+    def note_failure(self, target: Target) -> None:
+        """Count a connection failure of a request."""
+        target.failures += 1
+
+    async def is_dead(self, target: Target, boot: str) -> bool:
+        """Tell whether an incarnation of a target has died.
+
+        A target that only gives no answer in time may be cut off instead,
+        and does not count as dead.
+        """
+        if target.control is None:
+            return False
+        try:
+            state = await target.control.state()
+        except interfaces.TargetUnreachable as error:
+            return not error.timed_out
+        return state.boot != boot
+
+    async def probe(self, target: Target) -> bool:
+        """Tell whether a new connection to a target works."""
+        if target.control is not None:
+            try:
+                await target.control.state()
+                return True
+            except interfaces.TargetUnreachable:
+                return False
+        parts = urllib.parse.urlsplit(target.spec.url)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(
+                    parts.hostname,
+                    parts.port or 80,
+                )
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    def _of_kind(self, kind: schema.TargetKind) -> list[Target]:
+        return [
+            target
+            for _, target in sorted(self.by_id.items())
+            if target.spec.kind is kind
+        ]
+
+    def _begin(self, name: str, spec: schema.Target) -> None:
+        control = None
+        control_pool = pools.Pool(pools.PoolSettings(reuse=False))
+        if spec.kind is schema.TargetKind.ENGINE:
+            control = registry.PLUGINS.create(
+                "engine-control",
+                self._fleet.settings.engine_plugin,
+                control_pool,
+                spec.url,
+            )
+        target = Target(name, spec, control, control_pool)
+        self.by_id[target.id] = target
+        self._group.start(f"watch {name}", lambda: self._watch(target))
+
+    async def _retire(self, target: Target) -> None:
+        """Close a target's connections once its requests have ended."""
+        await self._group.stop(f"watch {target.id}")
+        if target.id in self.by_id:
+            renewed = self.by_id[target.id]
+            self._group.start(
+                f"watch {target.id}",
+                lambda: self._watch(renewed),
+            )
+        while target.in_flight:
+            await self._fleet.clock.sleep_ms(WATCH_MS)
+        await target.close()
+
+    async def _watch(self, target: Target) -> None:
+        """Poll one target until it is no longer configured."""
+        while self.by_id.get(target.id) is target:
+            was_up = target.is_up and target.up_since_ms > clocks.NEVER_MS
+            if target.control is not None:
+                await self._read_state(target, target.control)
+            elif await self.probe(target):
+                target.failures = 0
+            else:
+                target.failures += 1
+            if target.is_up and not was_up:
+                target.up_since_ms = self._fleet.clock.now_ms()
+                LOG.info("targets: up", target=target.id)
+            if was_up and not target.is_up:
+                target.up_since_ms = clocks.NEVER_MS
+                LOG.warning("targets: down", target=target.id)
+                self._fleet.metrics.count("target.down")
+            self._notify()
+            await self._fleet.clock.sleep_ms(WATCH_MS)
+
+    async def _read_state(
+        self,
+        target: Target,
+        control: interfaces.EngineControl,
+    ) -> None:
+        try:
+            state = await control.state()
+            events = await control.cache_events(target.event_sequence)
+        except interfaces.TargetUnreachable as error:
+            target.failures += 1
+            is_down = target.failures == FAILURES_UNTIL_DOWN
+            if is_down and not error.timed_out:
+                self._report_loss(target)
+            return
+        if target.boot and state.boot != target.boot:
+            self._report_loss(target)
+            target.prefixes.clear()
+            target.event_sequence = 0
+            target.up_since_ms = self._fleet.clock.now_ms()
+        target.failures = 0
+        target.state = state
+        target.state_ms = self._fleet.clock.now_ms()
+        target.reported_others = max(
+            0,
+            state.running - len(target.in_flight),
+        )
+        if events.boot == state.boot:
+            _take_events(target, events)
+
+    def _report_loss(self, target: Target) -> None:
+        LOG.warning("targets: lost", target=target.id, boot=target.boot)
+        for listener in self.lost:
+            listener(target, target.boot)
+
+    def _notify(self) -> None:
+        for listener in self.changed:
+            listener()
+
+
+def _take_events(target: Target, events: interfaces.CacheEvents) -> None:
+    """Apply cache events; after a gap only what follows it is trusted."""
+    for event in events.events:
+        if event.sequence > target.event_sequence + 1:
+            target.prefixes.clear()
+        target.event_sequence = event.sequence
+        target.prefixes.pop(event.prefix, None)
+        if event.present:
+            target.prefixes[event.prefix] = None
+    while len(target.prefixes) > KNOWN_PREFIXES:
+        del target.prefixes[next(iter(target.prefixes))]
--- /dev/null
+++ b/packages/cardamom-kernel/src/cardamom_kernel/clocks.py
@@ -0,0 +1,86 @@
+"""Monotonic time in milliseconds, with a stepped variant for tests."""
+
+import abc
+import asyncio
+import heapq
+import itertools
+import time
+import typing
+
+Ms = typing.NewType("Ms", int)
+
+NEVER_MS = Ms(-(1 << 60))
+FOREVER_MS = Ms(1 << 60)
+SETTLE_PASSES = 20  # event loop passes
+
+
+class Clock(abc.ABC):
+    """A monotonic clock.
+
+    Readings of two processes are never comparable; only differences on one
+    clock carry meaning.
+    """
+
+    @abc.abstractmethod
+    def now_ms(self) -> Ms:
+        """Return the current reading in milliseconds."""
+
+    @abc.abstractmethod
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task for at least the given milliseconds."""
+
+
+class MonotonicClock(Clock):
+    """The operating system's monotonic clock."""
+
+    def now_ms(self) -> Ms:
+        """Return the monotonic clock in whole milliseconds."""
+        return Ms(time.monotonic_ns() // 1_000_000)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Sleep on the event loop."""
+        await asyncio.sleep(duration_ms / 1000)
+
+
+class SteppedClock(Clock):
+    """A clock that moves only when it is told to."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+
+    def now_ms(self) -> Ms:
+        """Return the stepped reading in milliseconds."""
+        return Ms(self._now_ms)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Wait until the clock has been advanced past the duration."""
+        future: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        due_ms = self._now_ms + max(0.0, duration_ms)
+        heapq.heappush(self._sleepers, (due_ms, next(self._order), future))
+        await future
+
+    def step(self, duration_ms: int) -> None:
+        """Move the reading forward without waking any sleeper."""
+        self._now_ms += duration_ms
+
+    async def advance(self, duration_ms: int) -> None:
+        """Move time forward and run every sleeper that falls due, in order."""
+        end_ms = self._now_ms + duration_ms
+        await settle()
+        while self._sleepers and self._sleepers[0][0] <= end_ms:
+            due_ms, _, future = heapq.heappop(self._sleepers)
+            self._now_ms = max(self._now_ms, int(due_ms))
+            if not future.done():
+                future.set_result(None)
+            await settle()
+        self._now_ms = end_ms
+
+
+async def settle() -> None:
+    """Let ready tasks run without moving any clock."""
+    for _ in range(SETTLE_PASSES):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/packages/cardamom-kernel/src/cardamom_kernel/leases.py
@@ -0,0 +1,127 @@
+"""A lease in the table whose number fences orders.
+
+Each change of holder raises the number.  A holder trusts its lease for
+``ttl_ms`` from the moment at which the last successful renewal was sent.  A
+contender takes over only after it has watched the same row for longer than
+that on its own clock, so the clocks of two machines are never compared.
+"""
+
+import dataclasses
+import enum
+
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import invariants
+from cardamom_kernel import tables
+
+LEASE_TTL_MS = 6_000
+DRIFT_PERCENT = 10
+
+
+class LeaseState(enum.Enum):
+    """Whose lease it is, as this instance sees it."""
+
+    HELD = "held"
+    OTHER = "other"
+    UNREACHED = "unreached"
+
+
+@dataclasses.dataclass(frozen=True)
+class Fence:
+    """The right to send orders under a number until a moment."""
+
+    number: int
+    until_ms: int
+    acquired_ms: int
+
+
+class Lease:
+    """One named lease, as one instance contends for it."""
+
+    def __init__(
+        self,
+        table: tables.Table,
+        clock: clocks.Clock,
+        name: str,
+        holder: ids.InstanceId,
+        ttl_ms: int = LEASE_TTL_MS,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._key = f"lease/{name}"
+        self._holder = holder
+        self._ttl_ms = ttl_ms
+        self._fence: Fence | None = None
+        self._seen_version = -1
+        self._seen_ms: int = clocks.NEVER_MS
+
+    def fence(self) -> Fence | None:
+        """Return the fence if the lease is held at this very moment."""
+        fence = self._fence
+        if fence is None or self._clock.now_ms() >= fence.until_ms:
+            return None
+        return fence
+
+    async def contend(self) -> LeaseState:
+        """Renew the lease, or take it over if its holder has gone quiet."""
+        try:
+            rows = await self._table.read_latest([self._key])
+        except tables.TableUnavailable:
+            return LeaseState.UNREACHED
+        row = rows.get(self._key)
+        if row is not None and not self._may_write(row):
+            return LeaseState.OTHER
+        return await self._write(row)
+
+    async def release(self) -> None:
+        """Give the lease up at a planned stop, so that a successor need
+        not wait for its end.
+        """
+        fence, self._fence = self._fence, None
+        if fence is None:
+            return
+        try:
+            rows = await self._table.read_latest([self._key])
+        except tables.TableUnavailable:
+            return
+        row = rows.get(self._key)
+        if row is not None and row.body["holder"] == self._holder:
+            body = {"holder": "", "number": row.body["number"]}
+            await self._table.commit(
+                {self._key: row.version}, {self._key: body}
+            )
+
+    def _may_write(self, row: tables.Row) -> bool:
+        now_ms = self._clock.now_ms()
+        if row.version != self._seen_version:
+            self._seen_version = row.version
+            self._seen_ms = now_ms
+        if row.body["holder"] in ("", self._holder):
+            return True
+        self._fence = None
+        wait_ms = self._ttl_ms * (100 + DRIFT_PERCENT) // 100
+        return now_ms - self._seen_ms >= wait_ms
+
+    async def _write(self, row: tables.Row | None) -> LeaseState:
+        sent_ms = self._clock.now_ms()
+        number = int(row.body["number"]) if row else 0
+        renewed = self.fence()
+        if renewed is None or renewed.number != number:
+            number += 1
+            renewed = None
+        body = {"holder": self._holder, "number": number}
+        result = await self._table.commit(
+            {self._key: row.version if row else tables.ABSENT},
+            {self._key: body},
+        )
+        if not result.committed:
+            return LeaseState.OTHER
+        invariants.check(
+            self._fence is None or number >= self._fence.number,
+            "lease.number_grows",
+            lease=self._key,
+            number=number,
+        )
+        acquired_ms = renewed.acquired_ms if renewed else self._clock.now_ms()
+        self._fence = Fence(number, sent_ms + self._ttl_ms, acquired_ms)
+        return LeaseState.HELD
--- /dev/null
+++ b/packages/cardamom-kernel/src/cardamom_kernel/registry.py
@@ -0,0 +1,57 @@
+"""A registry in which plug-ins register themselves by kind and name."""
+
+import typing
+
+Factory = typing.TypeVar("Factory", bound=typing.Callable[..., object])
+
+
+class UnknownPlugin(KeyError):
+    """Raised for a name that no plug-in has registered."""
+
+
+class Registry:
+    """Factories by kind and name."""
+
+    def __init__(self) -> None:
+        self._by_kind: dict[str, dict[str, typing.Callable[..., object]]] = {}
+
+    def register(
+        self,
+        kind: str,
+        name: str,
+    ) -> typing.Callable[[Factory], Factory]:
+        """Return a decorator that registers a factory.
+
+        Raises ValueError if the name is taken within its kind.
+        """
+
+        def decorate(factory: Factory) -> Factory:
+            by_name = self._by_kind.setdefault(kind, {})
+            if name in by_name:
+                raise ValueError(
+                    f"{kind} plug-in {name!r} is registered twice"
+                )
+            by_name[name] = factory
+            return factory
+
+        return decorate
+
+    def names(self, kind: str) -> list[str]:
+        """Return the registered names of a kind, sorted."""
+        return sorted(self._by_kind.get(kind, {}))
+
+    def create(self, kind: str, name: str, *args: object) -> typing.Any:
+        """Build the plug-in registered under a kind and name.
+
+        Raises UnknownPlugin if there is none.
+        """
+        factory = self._by_kind.get(kind, {}).get(name)
+        if factory is None:
+            known = ", ".join(self.names(kind)) or "none"
+            raise UnknownPlugin(
+                f"no {kind} plug-in named {name!r}; choose one of: {known}",
+            )
+        return factory(*args)
+
+
+PLUGINS = Registry()
--- /dev/null
+++ b/packages/cardamom-platform/src/cardamom_platform/plugins.py
@@ -0,0 +1,296 @@
+"""HTTP clients of the platform and of engines, registered as plug-ins."""
+
+import asyncio
+import typing
+
+import aiohttp
+import orjson
+
+from cardamom_kernel import ids
+from cardamom_kernel import registry
+from cardamom_kernel import tables
+from cardamom_platform import interfaces
+from cardamom_platform import pools
+
+TABLE_TIMEOUT_S = 2.0
+LIST_TIMEOUT_S = 2.0
+OBJECT_TIMEOUT_S = 5.0
+CONTROL_TIMEOUT_S = 2.0
+
+FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
+
+Json = dict[str, typing.Any]
+
+
+class HttpClient:
+    """JSON calls to one base address over a pool.
+
+    A time-out replaces the pool, since its connections may be silent.
+    """
+
+    def __init__(
+        self,
+        pool: pools.Pool,
+        url: str,
+        headers: typing.Mapping[str, str] | None = None,
+    ) -> None:
+        self._pool = pool
+        self._url = url.rstrip("/")
+        self._headers = {"Content-Type": "application/json"}
+        self._headers.update(headers or {})
+
+    async def post(self, path: str, body: object, timeout_s: float) -> Json:
+        """Post JSON and return the JSON answer; raises one of FAILURES."""
+        return await self._call("POST", path, orjson.dumps(body), timeout_s)
+
+    async def get(self, path: str, timeout_s: float) -> Json:
+        """Return the JSON at a path; raises one of FAILURES."""
+        return await self._call("GET", path, None, timeout_s)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float,
+    ) -> Json:
+        try:
+            async with self._pool.session.request(
+                method,
+                self._url + path,
+                data=data,
+                headers=self._headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                response.raise_for_status()
+                parsed = orjson.loads(await response.read())
+        except asyncio.TimeoutError:
+            self._pool.replace()
+            raise
+        if not isinstance(parsed, dict):
+            raise ValueError("answer is not a JSON object")
+        return parsed
+
+
+@registry.PLUGINS.register("table", "http")
+class HttpTable(tables.Table):
+    """The transactional table over HTTP."""
+
+    def __init__(self, pool: pools.Pool, url: str) -> None:
+        self._http = HttpClient(pool, url)
+        self.reads = 0
+        self.writes = 0
+
+    async def read(self, keys: typing.Sequence[str]) -> dict[str, tables.Row]:
+        """Read rows, maybe of an older state."""
+        return await self._rows("/v1/read", {"keys": list(keys)})
+
+    async def scan(self, prefix: str) -> dict[str, tables.Row]:
+        """Read the rows under a prefix, maybe of an older state."""
+        return await self._rows("/v1/scan", {"prefix": prefix})
+
+    async def commit(
+        self,
+        conditions: typing.Mapping[str, int],
+        puts: typing.Mapping[str, tables.Body],
+        deletes: typing.Sequence[str] = (),
+    ) -> tables.CommitResult:
+        """Compare and set; a lost answer gives UNKNOWN."""
+        body = {
+            "conditions": dict(conditions),
+            "puts": {key: dict(value) for key, value in puts.items()},
+            "deletes": list(deletes),
+        }
+        if puts or deletes:
+            self.writes += 1
+        else:
+            self.reads += 1
+        try:
+            answer = await self._http.post("/v1/commit", body, TABLE_TIMEOUT_S)
+            rows = _rows_from(answer)
+            committed = bool(answer["committed"])
+        except (*FAILURES, KeyError):
+            return tables.CommitResult(tables.CommitState.UNKNOWN)
+        state = (
+            tables.CommitState.COMMITTED
+            if committed
+            else tables.CommitState.CONFLICT
+        )
+        return tables.CommitResult(state, rows)
+
+    async def _rows(self, path: str, body: Json) -> dict[str, tables.Row]:
+        self.reads += 1
+        try:
+            answer = await self._http.post(path, body, TABLE_TIMEOUT_S)
+            return _rows_from(answer)
+        except (*FAILURES, KeyError) as error:
+            raise tables.TableUnavailable(f"table: {error!r}") from error
+
+
+def _rows_from(answer: Json) -> dict[str, tables.Row]:
+    return {
+        key: tables.Row(key, row["version"], row["body"])
+        for key, row in answer["rows"].items()
+    }
+
+
+@registry.PLUGINS.register("instance-list", "http")
+class HttpInstanceList(interfaces.InstanceList):
+    """The platform's instance list over HTTP."""
+
+    def __init__(self, pool: pools.Pool, url: str) -> None:
+        self._http = HttpClient(pool, url)
+
+    async def instances(self) -> list[interfaces.ListedInstance]:
+        """Return the listed instances."""
+        try:
+            answer = await self._http.get("/v1/instances", LIST_TIMEOUT_S)
+            return [_listed(item) for item in answer["instances"]]
+        except (*FAILURES, KeyError) as error:
+            raise interfaces.ListUnavailable(f"list: {error!r}") from error
+
+    async def announce(self, instance: interfaces.ListedInstance) -> None:
+        """Announce this instance and its state."""
+        body = {
+            "id": instance.id,
+            "address": instance.address,
+            "data_centre": instance.data_centre,
+            "state": instance.state.value,
+        }
+        try:
+            await self._http.post("/v1/instances", body, LIST_TIMEOUT_S)
+        except FAILURES as error:
+            raise interfaces.ListUnavailable(f"list: {error!r}") from error
+
+
+def _listed(item: Json) -> interfaces.ListedInstance:
+    return interfaces.ListedInstance(
+        ids.InstanceId(item["id"]),
+        item["address"],
+        ids.DataCentreId(item["data_centre"]),
+        interfaces.InstanceState(item["state"]),
+    )
+
+
+@registry.PLUGINS.register("objects", "http")
+class HttpObjectStore(interfaces.ObjectStore):
+    """The object store over HTTP."""
+
+    def __init__(self, pool: pools.Pool, url: str) -> None:
+        self._pool = pool
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=OBJECT_TIMEOUT_S)
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Store a value under a key."""
+        try:
+            async with self._pool.session.put(
+                f"{self._url}/v1/objects/{key}",
+                data=data,
+                timeout=self._timeout,
+            ) as response:
+                response.raise_for_status()
+        except FAILURES as error:
+            raise interfaces.ObjectsUnavailable(repr(error)) from error
+
+    async def get(self, key: str) -> bytes | None:
+        """Return the value under a key, or None."""
+        try:
+            async with self._pool.session.get(
+                f"{self._url}/v1/objects/{key}",
+                timeout=self._timeout,
+            ) as response:
+                if response.status == 404:
+                    return None
+                response.raise_for_status()
+                return await response.read()
+        except FAILURES as error:
+            raise interfaces.ObjectsUnavailable(repr(error)) from error
+
+
+@registry.PLUGINS.register("engine-control", "http")
+class HttpEngineControl(interfaces.EngineControl):
+    """An engine's control interface over HTTP."""
+
+    def __init__(self, pool: pools.Pool, url: str) -> None:
+        self._http = HttpClient(pool, url)
+
+    async def state(self) -> interfaces.EngineState:
+        """Return the engine's state."""
+        try:
+            answer = await self._http.get(
+                "/engine/v1/state", CONTROL_TIMEOUT_S
+            )
+            return _engine_state(answer)
+        except (*FAILURES, KeyError) as error:
+            raise _unreachable(error) from error
+
+    async def order(
+        self,
+        order: interfaces.Order,
+        timeout_ms: int,
+    ) -> interfaces.OrderResult:
+        """Send an order that the engine drops after the timeout."""
+        body = {
+            "id": order.id,
+            "kind": order.kind.value,
+            "fence": order.fence,
+            "model": order.model,
+            "version": order.version,
+            "adapter": order.adapter,
+            "memory_mb": order.memory_mb,
+            "argument": order.argument,
+            "lifetime_ms": timeout_ms,
+        }
+        try:
+            answer = await self._http.post(
+                "/engine/v1/orders", body, timeout_ms / 1000
+            )
+            return interfaces.OrderResult(
+                interfaces.OrderState(answer["state"]),
+                str(answer.get("message", "")),
+            )
+        except (*FAILURES, KeyError) as error:
+            return interfaces.OrderResult(
+                interfaces.OrderState.UNKNOWN, repr(error)
+            )
+
+    async def cache_events(self, after: int) -> interfaces.CacheEvents:
+        """Return the cache events after a sequence number."""
+        try:
+            answer = await self._http.get(
+                f"/engine/v1/events?after={after}", CONTROL_TIMEOUT_S
+            )
+            events = tuple(
+                interfaces.CacheEvent(e["sequence"], e["prefix"], e["present"])
+                for e in answer["events"]
+            )
+            return interfaces.CacheEvents(answer["boot"], events)
+        except (*FAILURES, KeyError) as error:
+            raise _unreachable(error) from error
+
+
+def _unreachable(error: Exception) -> interfaces.TargetUnreachable:
+    timed_out = isinstance(error, asyncio.TimeoutError)
+    return interfaces.TargetUnreachable(repr(error), timed_out)
+
+
+def _engine_state(answer: Json) -> interfaces.EngineState:
+    residents = tuple(
+        interfaces.Resident(
+            item["model"],
+            item["version"],
+            item["adapter"],
+            item["memory_mb"],
+            interfaces.LoadState(item["state"]),
+        )
+        for item in answer["residents"]
+    )
+    return interfaces.EngineState(
+        boot=answer["boot"],
+        memory_mb=answer["memory_mb"],
+        residents=residents,
+        running=answer["running"],
+        queued=answer["queued"],
+        fence=answer["fence"],
+    )
--- /dev/null
+++ b/packages/cardamom-policy/src/cardamom_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on explicit state: admission, fairness, routing, placement."""
--- /dev/null
+++ b/packages/cardamom-standins/src/cardamom_standins/base.py
@@ -0,0 +1,163 @@
+"""The frame of every stand-in: an HTTP server with fault switches."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import typing
+
+from aiohttp import web
+import orjson
+
+Json = dict[str, typing.Any]
+
+FOREVER_S = 86_400.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """Switches that are set by ``POST /faults`` with a JSON object.
+
+    down: cut each connection at once.
+    slow_ms: wait before each answer.
+    lose_answers: part of the requests, from 0 to 1, that take effect and
+        are then cut without an answer.
+    silence: leave every connection open now without any answer for good.
+    """
+
+    down: bool = False
+    slow_ms: float = 0.0
+    lose_answers: float = 0.0
+    silence: bool = False
+
+
+class Standin:
+    """Base of the stand-ins; subclasses add routes and switches."""
+
+    faults: Faults
+
+    def __init__(self, seed: int = 1) -> None:
+        self.faults = self.make_faults()
+        self.random = random.Random(seed)
+        self._transports: set[asyncio.BaseTransport] = set()
+        self._silent: set[asyncio.BaseTransport] = set()
+
+    def make_faults(self) -> Faults:
+        """Return this kind's switches, all off."""
+        return Faults()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return this kind's routes."""
+        raise NotImplementedError
+
+    def set_faults(self, values: Json) -> None:
+        """Set switches by name; raises ValueError for an unknown one."""
+        known = {field.name for field in dataclasses.fields(self.faults)}
+        for name, value in values.items():
+            if name not in known:
+                raise ValueError(
+                    f"no switch {name!r}; there are {', '.join(sorted(known))}"
+                )
+            setattr(self.faults, name, value)
+        if self.faults.silence:
+            self._silent |= self._transports
+            self.faults.silence = False
+
+    def cut_all(self) -> None:
+        """Cut every connection, as the death of the process would."""
+        for transport in list(self._transports):
+            typing.cast(asyncio.Transport, transport).abort()
+        self._transports.clear()
+
+    def application(self) -> web.Application:
+        """Return the web application with the switches around each route."""
+        app = web.Application(
+            middlewares=[self._around],
+            client_max_size=64 << 20,
+        )
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_get("/faults", self._get_faults)
+        app.add_routes(self.routes())
+        return app
+
+    async def started(self) -> None:
+        """Run once the server listens."""
+
+    async def stopped(self) -> None:
+        """Run when the server stops."""
+
+    @web.middleware
+    async def _around(
+        self,
+        request: web.Request,
+        handler: typing.Callable[
+            [web.Request], typing.Awaitable[web.StreamResponse]
+        ],
+    ) -> web.StreamResponse:
+        transport = request.transport
+        if request.path == "/faults" or transport is None:
+            return await handler(request)
+        self._transports = {
+            t for t in self._transports if not t.is_closing()
+        } | {transport}
+        if self.faults.down:
+            return self._cut(request)
+        await self._stay_silent(transport)
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+        lost = self.random.random() < self.faults.lose_answers
+        response = await handler(request)
+        await self._stay_silent(transport)
+        return self._cut(request) if lost else response
+
+    async def _stay_silent(self, transport: asyncio.BaseTransport) -> None:
+        if transport in self._silent:
+            await asyncio.sleep(FOREVER_S)
+
+    def is_silent(self, request: web.Request) -> bool:
+        """Tell whether a request's connection has gone silent."""
+        return request.transport in self._silent
+
+    def _cut(self, request: web.Request) -> web.Response:
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=503)
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.set_faults(orjson.loads(await request.read()))
+        except ValueError as error:
+            return web.Response(status=400, text=str(error))
+        return reply(dataclasses.asdict(self.faults))
+
+    async def _get_faults(self, _: web.Request) -> web.Response:
+        return reply(dataclasses.asdict(self.faults))
+
+
+def reply(body: object, status: int = 200) -> web.Response:
+    """Return a JSON response."""
+    return web.Response(
+        body=orjson.dumps(body),
+        status=status,
+        content_type="application/json",
+    )
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    standin: Standin,
+    host: str = "127.0.0.1",
+    port: int = 0,
+) -> typing.AsyncIterator[str]:
+    """Serve a stand-in inside this process and yield its address."""
+    runner = web.AppRunner(standin.application(), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    await standin.started()
+    bound = runner.addresses[0][1]
+    try:
+        yield f"http://{host}:{bound}"
+    finally:
+        await standin.stopped()
+        await runner.cleanup()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, a class for each subject."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools: the demo's deployment, soak, bench and slopes."""
