--- a/packages/cardamom-daemon/src/cardamom_daemon/changes.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/changes.py
@@ -10,6 +10,7 @@
 from cardamom_daemon import keyring
 from cardamom_daemon import messages
 from cardamom_daemon import table_sync
+from cardamom_kernel import freshness
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_kernel import rosters
@@ -214,20 +215,20 @@
         """
         fleet = self._fleet
         acknowledged: set[str] = {fleet.instance}
-        quorum_ms: int | None = None
+        settling = freshness.Settling(
+            fleet.clock,
+            fleet.settings.freshness_ms,
+        )
         while True:
             message = messages.Withdrawals(fleet.withdrawn.members())
             acknowledged |= set(
                 await self._gossip.tell_all("/peer/v1/withdrawn", message)
             )
             durable = await self._sync.write_withdrawals()
-            now_ms = fleet.clock.now_ms()
-            if quorum_ms is None and self._is_quorum(acknowledged, durable):
-                quorum_ms = now_ms
-            period_ms = fleet.settings.freshness_ms
-            settled = quorum_ms is not None and now_ms >= quorum_ms + period_ms
-            in_force = settled or self._is_everyone(acknowledged)
-            waited_ms = now_ms - started_ms
+            is_quorum = self._is_quorum(acknowledged, durable)
+            is_settled = settling.note(is_quorum)
+            in_force = is_settled or self._is_everyone(acknowledged)
+            waited_ms = fleet.clock.now_ms() - started_ms
             if in_force or waited_ms >= WITHDRAW_WAIT_MS:
                 return {
                     "in_force": in_force,
@@ -248,22 +249,16 @@
 
     def _is_quorum(self, acknowledged: set[str], durable: bool) -> bool:
         roster = self._fleet.roster
-        if roster is None:
-            return False
         knowing = {
             seat.id
             for seat in self._fleet.seats()
             if seat.holder in acknowledged
         }
-        for seats in roster.voter_sets():
-            needed = (
-                rosters.quorum_with_table(len(seats))
-                if durable
-                else rosters.quorum_without_table(len(seats))
-            )
-            if len(seats & knowing) < needed:
-                return False
-        return True
+        return roster is not None and rosters.is_acknowledged(
+            roster,
+            knowing,
+            durable,
+        )
 
 
 def _refusal(code: outcomes.Code, message: str) -> outcomes.Refusal:
--- a/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
@@ -6,7 +6,7 @@
 from cardamom_daemon import gossip as gossips
 from cardamom_daemon import messages
 from cardamom_daemon import table_sync
-from cardamom_kernel import clocks
+from cardamom_kernel import freshness
 from cardamom_kernel import ids
 from cardamom_kernel import rosters
 from cardamom_platform import interfaces
@@ -31,8 +31,8 @@
         self._gossip = gossip
         self._sync = sync
         self._started_ms = fleet.clock.now_ms()
-        self._acknowledged_ms: int = clocks.FOREVER_MS
-        self._acknowledged_epoch = 0
+        self._settling_epoch = 0
+        self._settling = freshness.Settling(fleet.clock)
         self._unlisted_ms_by_seat: dict[ids.SeatId, int] = {}
         self._seen_ms_by_seat: dict[ids.SeatId, int] = {}
 
@@ -160,25 +160,27 @@
         roster = fleet.roster
         if roster is None or fleet.is_roster_in_force:
             return
-        now_ms = fleet.clock.now_ms()
-        if self._acknowledged_epoch != roster.epoch:
-            self._acknowledged_ms = clocks.FOREVER_MS
-        self._acknowledged_epoch = roster.epoch
-        if self._is_known_to_quorum(roster):
-            self._acknowledged_ms = min(self._acknowledged_ms, now_ms)
-        waited_ms = now_ms - self._acknowledged_ms
-        if not roster.previous or waited_ms >= fleet.settings.freshness_ms:
+        if self._settling_epoch != roster.epoch:
+            self._settling_epoch = roster.epoch
+            self._settling = freshness.Settling(
+                fleet.clock,
+                fleet.settings.freshness_ms,
+            )
+        is_known = rosters.is_known_before(roster, self._knowing(roster))
+        if not roster.previous or self._settling.note(is_known):
             fleet.is_roster_in_force = True
             LOG.info("roster: in force", epoch=roster.epoch)
 
-    def _is_known_to_quorum(self, roster: rosters.Roster) -> bool:
-        gone = {
+    def _knowing(self, roster: rosters.Roster) -> set[ids.SeatId]:
+        """Return the seats that know a roster, or that are gone."""
+        now_ms = self._fleet.clock.now_ms()
+        knowing = {
             seat
             for seat, since_ms in self._unlisted_ms_by_seat.items()
-            if self._fleet.clock.now_ms() - since_ms >= GONE_AFTER_MS
+            if now_ms - since_ms >= GONE_AFTER_MS
         }
-        knowing = {
-            peer.heartbeat.seat
+        knowing |= {
+            ids.SeatId(peer.heartbeat.seat)
             for peer in self._gossip.live()
             if peer.heartbeat
             and peer.heartbeat.version_by_document.get(fleets.ROSTER, 0)
@@ -186,10 +188,7 @@
         }
         if self._fleet.own_seat:
             knowing.add(self._fleet.own_seat)
-        known = sum(
-            1 for seat in roster.previous if seat in knowing or seat in gone
-        )
-        return known >= rosters.quorum_with_table(len(roster.previous))
+        return knowing
 
     def _is_proposer(self) -> bool:
         """Tell whether this is the lowest live seat, or none is live."""
--- a/packages/cardamom-kernel/src/cardamom_kernel/freshness.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/freshness.py
@@ -124,3 +124,33 @@
     if not times or nth > len(times):
         return clocks.NEVER_MS
     return sorted(times, reverse=True)[nth - 1]
+
+
+class Settling:
+    """Tells when a change that tightens something is in force.
+
+    Once a quorum has acknowledged the change, whoever has not heard of it
+    stays fresh for the rest of its period at most.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        period_ms: int = FRESHNESS_PERIOD_MS,
+    ) -> None:
+        self._clock = clock
+        self._period_ms = period_ms
+        self._acknowledged_ms: int | None = None
+
+    def note(self, is_acknowledged: bool) -> bool:
+        """Take the present state of acknowledgement; true once in force.
+
+        What was acknowledged once stays so, since acknowledgements are not
+        taken back.
+        """
+        now_ms = self._clock.now_ms()
+        if self._acknowledged_ms is None:
+            if not is_acknowledged:
+                return False
+            self._acknowledged_ms = now_ms
+        return now_ms - self._acknowledged_ms >= self._period_ms
--- a/packages/cardamom-kernel/src/cardamom_kernel/rosters.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/rosters.py
@@ -90,3 +90,31 @@
     ``quorum_with_table(n) + quorum_without_table(n) == n + 1``.
     """
     return seats // 3 + 1
+
+
+def is_acknowledged(
+    roster: Roster,
+    knowing: typing.Collection[ids.SeatId],
+    beside_table: bool,
+) -> bool:
+    """Tell whether the seats that know of a change make up a quorum.
+
+    With ``beside_table`` the change must also be written to the table.
+    """
+    needed = quorum_with_table if beside_table else quorum_without_table
+    return all(
+        sum(1 for seat in seats if seat in knowing) >= needed(len(seats))
+        for seats in roster.voter_sets()
+    )
+
+
+def is_known_before(
+    roster: Roster,
+    knowing: typing.Collection[ids.SeatId],
+) -> bool:
+    """Tell whether enough seats of the epoch before know this one.
+
+    The roster is in the table, so the smaller quorum is enough.
+    """
+    known = sum(1 for seat in roster.previous if seat in knowing)
+    return known >= quorum_with_table(len(roster.previous))
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,159 @@
+"""Small fakes at the interfaces."""
+
+import asyncio
+import dataclasses
+import enum
+import typing
+
+from cardamom_kernel import clocks
+from cardamom_kernel import tables
+
+
+class Fate(enum.Enum):
+    """What becomes of one commit."""
+
+    ANSWERED = "answered"
+    LOST_BEFORE = "lost_before"
+    LOST_AFTER = "lost_after"
+    LATE = "late"
+
+
+@dataclasses.dataclass
+class Commit:
+    """A commit that waits for its fate."""
+
+    conditions: dict[str, int]
+    puts: dict[str, tables.Body]
+    deletes: list[str]
+    future: asyncio.Future[tables.CommitResult]
+
+
+class MemoryTable(tables.Table):
+    """A table in memory that always answers."""
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, tables.Row] = {}
+
+    async def read(self, keys: typing.Sequence[str]) -> dict[str, tables.Row]:
+        """Return the present rows."""
+        return {k: self.row_by_key[k] for k in keys if k in self.row_by_key}
+
+    async def scan(self, prefix: str) -> dict[str, tables.Row]:
+        """Return the present rows under a prefix."""
+        return {
+            key: row
+            for key, row in self.row_by_key.items()
+            if key.startswith(prefix)
+        }
+
+    async def commit(
+        self,
+        conditions: typing.Mapping[str, int],
+        puts: typing.Mapping[str, tables.Body],
+        deletes: typing.Sequence[str] = (),
+    ) -> tables.CommitResult:
+        """Compare and set."""
+        return self.execute(conditions, puts, deletes)
+
+    def execute(
+        self,
+        conditions: typing.Mapping[str, int],
+        puts: typing.Mapping[str, tables.Body],
+        deletes: typing.Sequence[str] = (),
+    ) -> tables.CommitResult:
+        """Compare and set at once."""
+        differing = {
+            key
+            for key, expected in conditions.items()
+            if expected not in (tables.ANY_VERSION, self._version(key))
+        }
+        shown = differing | {
+            key
+            for key, expected in conditions.items()
+            if expected == tables.ANY_VERSION
+        }
+        rows = {
+            key: self.row_by_key[key]
+            for key in shown
+            if key in self.row_by_key
+        }
+        if differing:
+            return tables.CommitResult(tables.CommitState.CONFLICT, rows)
+        for key, body in puts.items():
+            row = tables.Row(key, self._version(key) + 1, dict(body))
+            self.row_by_key[key] = row
+        for key in deletes:
+            self.row_by_key.pop(key, None)
+        return tables.CommitResult(tables.CommitState.COMMITTED, rows)
+
+    def _version(self, key: str) -> int:
+        row = self.row_by_key.get(key)
+        return row.version if row else tables.ABSENT
+
+
+class ExploredTable(MemoryTable):
+    """A table whose commits wait until the test decides their fate."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.waiting: list[Commit] = []
+        self.late: list[Commit] = []
+
+    async def commit(
+        self,
+        conditions: typing.Mapping[str, int],
+        puts: typing.Mapping[str, tables.Body],
+        deletes: typing.Sequence[str] = (),
+    ) -> tables.CommitResult:
+        """Wait for the commit's fate."""
+        future: asyncio.Future[tables.CommitResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        commit = Commit(dict(conditions), dict(puts), list(deletes), future)
+        self.waiting.append(commit)
+        return await future
+
+    def decide(self, index: int, fate: Fate) -> None:
+        """Decide the fate of a waiting commit."""
+        commit = self.waiting.pop(index)
+        result = tables.CommitResult(tables.CommitState.UNKNOWN)
+        if fate is Fate.ANSWERED:
+            result = self._run(commit)
+        elif fate is Fate.LOST_AFTER:
+            self._run(commit)
+        elif fate is Fate.LATE:
+            self.late.append(commit)
+        if not commit.future.done():
+            commit.future.set_result(result)
+
+    def land(self, index: int) -> None:
+        """Let a late commit take effect."""
+        self._run(self.late.pop(index))
+
+    def _run(self, commit: Commit) -> tables.CommitResult:
+        return self.execute(commit.conditions, commit.puts, commit.deletes)
+
+
+class LoopRunner:
+    """An event loop that a state machine drives step by step."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+
+    def start(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, typing.Any],
+    ) -> asyncio.Task[typing.Any]:
+        """Start a task."""
+        return self.loop.create_task(work)
+
+    def settle(self) -> None:
+        """Run every task that is ready."""
+        self.loop.run_until_complete(clocks.settle())
+
+    def close(self) -> None:
+        """Cancel every task and close the loop."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.settle()
+        self.loop.close()
--- /dev/null
+++ b/tests/kernel/test_claims.py
@@ -0,0 +1,226 @@
+"""Claims: at most one attempt runs, and "not run" is true."""
+
+import asyncio
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from cardamom_kernel import claims
+from cardamom_kernel import ids
+from tests import fakes
+from tests import mutants
+
+TEAM = ids.TeamId("team-a")
+
+
+@dataclasses.dataclass
+class Call:
+    """One repeat of the caller's call at some instance."""
+
+    attempt: claims.Attempt
+    runs: int = 0
+    said_not_run: bool = False
+    said_answered: bool = False
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Repeats of one call, over a table that loses answers."""
+
+    claims_type = claims.Claims
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = fakes.LoopRunner()
+        self.table = fakes.ExploredTable()
+        self.calls: list[Call] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @stateful.rule(connects=st.booleans())
+    def repeat(self, connects: bool) -> None:
+        """Send the call (again) at another instance."""
+        number = len(self.calls)
+        attempt = claims.Attempt(
+            ids.AttemptId(f"try-{number}"),
+            TEAM,
+            "key",
+            "hash",
+            ids.InstanceId(f"entry-{number}"),
+        )
+        call = Call(attempt)
+        self.calls.append(call)
+        self.tasks.append(self.runner.start(self.serve(call, connects)))
+        self.runner.settle()
+
+    async def serve(self, call: Call, connects: bool) -> None:
+        """Do what an instance does with a non-idempotent call."""
+        book = self.claims_type(self.table)
+        decision = await book.claim(call.attempt)
+        if decision.verdict is claims.Verdict.UNAVAILABLE:
+            call.said_not_run = True
+            await book.finish(call.attempt, claims.ClaimState.RELEASED)
+            return
+        if decision.verdict is claims.Verdict.ANSWERED:
+            call.said_answered = True
+        if decision.verdict is not claims.Verdict.GRANTED:
+            return
+        if not connects:
+            call.said_not_run = True
+            await book.finish(call.attempt, claims.ClaimState.RELEASED)
+            return
+        call.runs += 1
+        await book.finish(call.attempt, claims.ClaimState.DONE, {"ok": 1})
+
+    @stateful.precondition(lambda self: self.table.waiting)
+    @stateful.rule(
+        pick=st.integers(0, 1 << 20),
+        fate=st.sampled_from([*fakes.Fate, fakes.Fate.ANSWERED]),
+    )
+    def decide(self, pick: int, fate: fakes.Fate) -> None:
+        """Decide the fate of a commit."""
+        self.table.decide(pick % len(self.table.waiting), fate)
+        self.runner.settle()
+
+    @stateful.precondition(lambda self: self.table.late)
+    @stateful.rule(pick=st.integers(0, 1 << 20))
+    def land(self, pick: int) -> None:
+        """Let a late commit take effect."""
+        self.table.land(pick % len(self.table.late))
+
+    @stateful.precondition(lambda self: self.tasks)
+    @stateful.rule(pick=st.integers(0, 1 << 20))
+    def crash(self, pick: int) -> None:
+        """Kill an instance in the middle of its work."""
+        self.tasks[pick % len(self.tasks)].cancel()
+        self.runner.settle()
+
+    @stateful.invariant()
+    def runs_at_most_once(self) -> None:
+        """Assert that the call has run once at most."""
+        assert sum(call.runs for call in self.calls) <= 1
+
+    @stateful.invariant()
+    def not_run_is_true(self) -> None:
+        """Assert that no attempt that was said not to have run has run."""
+        assert not any(c.said_not_run and c.runs for c in self.calls)
+
+    @stateful.invariant()
+    def an_answer_comes_from_a_run(self) -> None:
+        """Assert that a stored answer belongs to a run."""
+        if any(call.said_answered for call in self.calls):
+            assert any(call.runs for call in self.calls)
+
+    def teardown(self) -> None:
+        """Close the loop."""
+        self.runner.close()
+
+
+class RunOnUnknown(claims.Claims):
+    """A mutant that takes a lost answer for a yes."""
+
+    async def claim(self, attempt: claims.Attempt) -> claims.Decision:
+        """Claim once, and run unless another is seen."""
+        result = await self._table.commit(
+            {attempt.row_key: 0},
+            {
+                attempt.row_key: claims._body(
+                    attempt, claims.ClaimState.STARTED
+                )
+            },
+        )
+        if result.state.value == "conflict":
+            return claims.Decision(claims.Verdict.RUNNING)
+        return claims.Decision(claims.Verdict.GRANTED)
+
+
+class TakeOver(claims.Claims):
+    """A mutant that takes over a claim whose holder seems slow."""
+
+    async def claim(self, attempt: claims.Attempt) -> claims.Decision:
+        """Claim, and run also if another attempt has started."""
+        decision = await super().claim(attempt)
+        if decision.verdict is claims.Verdict.RUNNING:
+            return claims.Decision(claims.Verdict.GRANTED)
+        return decision
+
+
+class ReleaseAnything(claims.Claims):
+    """A mutant that releases a claim without looking whose it is."""
+
+    async def finish(
+        self,
+        attempt: claims.Attempt,
+        state: claims.ClaimState,
+        answer: object = None,
+    ) -> bool:
+        """Delete the row."""
+        if state is claims.ClaimState.RELEASED:
+            await self._table.commit({}, {}, [attempt.row_key])
+        return True
+
+
+TestClaimsMachine = ClaimsMachine.TestCase
+TestClaimsMachine.settings = hypothesis.settings(max_examples=300)
+
+
+def _machine_with(kind: type[claims.Claims]) -> type[ClaimsMachine]:
+    return type("Mutant", (ClaimsMachine,), {"claims_type": kind})
+
+
+class TestMutants:
+    """The machine finds each mechanism that is broken on purpose."""
+
+    def test_run_on_a_lost_answer(self) -> None:
+        mutants.must_fail(_machine_with(RunOnUnknown))
+
+    def test_take_over_of_a_claim(self) -> None:
+        mutants.must_fail(_machine_with(TakeOver))
+
+    def test_release_of_anything(self) -> None:
+        mutants.must_fail(_machine_with(ReleaseAnything))
+
+
+class TestClaims:
+    """Single verdicts."""
+
+    def _claim(
+        self,
+        table: fakes.MemoryTable,
+        name: str,
+        body_hash: str = "hash",
+    ) -> claims.Decision:
+        return asyncio.run(
+            claims.Claims(table).claim(self._attempt(name, body_hash))
+        )
+
+    def _attempt(self, name: str, body_hash: str = "hash") -> claims.Attempt:
+        return claims.Attempt(
+            ids.AttemptId(name), TEAM, "key", body_hash, ids.InstanceId("a")
+        )
+
+    def test_repeat_gets_the_first_answer(self) -> None:
+        table = fakes.MemoryTable()
+        assert self._claim(table, "one").verdict is claims.Verdict.GRANTED
+        assert self._claim(table, "two").verdict is claims.Verdict.RUNNING
+        finish = claims.Claims(table).finish(
+            self._attempt("one"), claims.ClaimState.DONE, {"status": 200}
+        )
+        assert asyncio.run(finish)
+        decision = self._claim(table, "two")
+        assert decision.verdict is claims.Verdict.ANSWERED
+        assert decision.answer == {"status": 200}
+
+    def test_other_body_is_refused(self) -> None:
+        table = fakes.MemoryTable()
+        self._claim(table, "one")
+        decision = self._claim(table, "two", "other")
+        assert decision.verdict is claims.Verdict.KEY_REUSED
+
+    def test_released_claim_can_be_taken(self) -> None:
+        table = fakes.MemoryTable()
+        self._claim(table, "one")
+        book = claims.Claims(table)
+        released = claims.ClaimState.RELEASED
+        assert asyncio.run(book.finish(self._attempt("one"), released))
+        assert self._claim(table, "two").verdict is claims.Verdict.GRANTED
--- /dev/null
+++ b/tests/kernel/test_leases.py
@@ -0,0 +1,131 @@
+"""Leases: one holder at a time, and numbers that only grow."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import leases
+from tests import fakes
+from tests import mutants
+
+HOLDERS = 3
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Contenders with clocks that cannot be compared, and pauses."""
+
+    lease_type = leases.Lease
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = fakes.LoopRunner()
+        self.table = fakes.ExploredTable()
+        self.clocks = [clocks.SteppedClock(n * 77_777) for n in range(HOLDERS)]
+        self.leases = [
+            self.lease_type(
+                self.table,
+                clock,
+                "orders",
+                ids.InstanceId(f"entry-{n}"),
+            )
+            for n, clock in enumerate(self.clocks)
+        ]
+        self.highest = 0
+
+    @stateful.rule(who=st.integers(0, HOLDERS - 1))
+    def contend(self, who: int) -> None:
+        """Let an instance contend."""
+        self.runner.start(self.leases[who].contend())
+        self.runner.settle()
+
+    @stateful.rule(who=st.integers(0, HOLDERS - 1))
+    def contend_undisturbed(self, who: int) -> None:
+        """Let an instance contend while the table answers at once."""
+        before = len(self.table.waiting)
+        self.contend(who)
+        while len(self.table.waiting) > before:
+            self.table.decide(before, fakes.Fate.ANSWERED)
+            self.runner.settle()
+
+    @stateful.rule(who=st.integers(0, HOLDERS - 1))
+    def release(self, who: int) -> None:
+        """Let an instance give its lease up."""
+        self.runner.start(self.leases[who].release())
+        self.runner.settle()
+
+    @stateful.rule(ms=st.sampled_from([50, 2_000, 6_500, 7_000]))
+    def pass_time(self, ms: int) -> None:
+        """Let the same time pass everywhere."""
+        for clock in self.clocks:
+            clock.step(ms)
+
+    @stateful.precondition(lambda self: self.table.waiting)
+    @stateful.rule(
+        pick=st.integers(0, 1 << 20),
+        fate=st.sampled_from([*fakes.Fate, fakes.Fate.ANSWERED]),
+    )
+    def decide(self, pick: int, fate: fakes.Fate) -> None:
+        """Decide the fate of a commit."""
+        self.table.decide(pick % len(self.table.waiting), fate)
+        self.runner.settle()
+
+    @stateful.precondition(lambda self: self.table.late)
+    @stateful.rule(pick=st.integers(0, 1 << 20))
+    def land(self, pick: int) -> None:
+        """Let a late commit take effect."""
+        self.table.land(pick % len(self.table.late))
+
+    @stateful.invariant()
+    def one_holder(self) -> None:
+        """Assert that two instances never hold the lease at once."""
+        fences = [f for lease in self.leases if (f := lease.fence())]
+        assert len(fences) <= 1, fences
+        for fence in fences:
+            assert fence.number >= self.highest
+            self.highest = fence.number
+
+    def teardown(self) -> None:
+        """Close the loop."""
+        self.runner.close()
+
+
+class TrustFromTheAnswer(leases.Lease):
+    """A mutant that counts the lease from the answer on."""
+
+    async def _write(self, row: object) -> leases.LeaseState:
+        """Renew and extend by the time the answer took."""
+        state = await super()._write(row)  # type: ignore[arg-type]
+        if state is leases.LeaseState.HELD and self._fence is not None:
+            until_ms = self._clock.now_ms() + self._ttl_ms
+            self._fence = leases.Fence(
+                self._fence.number, until_ms, self._fence.acquired_ms
+            )
+        return state
+
+
+class NoWait(leases.Lease):
+    """A mutant that takes over without watching the row first."""
+
+    def _may_write(self, row: object) -> bool:
+        """Write at once."""
+        return True
+
+
+TestLeaseMachine = LeaseMachine.TestCase
+TestLeaseMachine.settings = hypothesis.settings(max_examples=300)
+
+
+def _machine_with(kind: type[leases.Lease]) -> type[LeaseMachine]:
+    return type("Mutant", (LeaseMachine,), {"lease_type": kind})
+
+
+class TestMutants:
+    """The machine finds each mechanism that is broken on purpose."""
+
+    def test_trust_from_the_answer(self) -> None:
+        mutants.must_fail(_machine_with(TrustFromTheAnswer))
+
+    def test_take_over_without_a_wait(self) -> None:
+        mutants.must_fail(_machine_with(NoWait))
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,27 @@
+"""Running a randomised check on a mechanism that is broken on purpose."""
+
+import typing
+
+import hypothesis
+from hypothesis import stateful
+import pytest
+
+SETTINGS = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=500,
+    stateful_step_count=60,
+    database=None,
+    phases=(hypothesis.Phase.generate,),
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+def must_fail(
+    machine: typing.Callable[[], stateful.RuleBasedStateMachine],
+) -> None:
+    """Assert that a state machine finds the fault in a mutant."""
+    with pytest.raises(Exception) as raised:
+        stateful.run_state_machine_as_test(machine, settings=SETTINGS)
+    errors = (AssertionError, ExceptionGroup)
+    assert isinstance(raised.value, errors), raised.value
