--- a/packages/cardamom-daemon/src/cardamom_daemon/app.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/app.py
@@ -66,7 +66,9 @@
             settings.trace_ratio,
             settings.instance,
         )
-        self._platform_pool = pools.Pool()
+        self._platform_pool = pools.Pool(
+            pools.PoolSettings(source=settings.source_address)
+        )
         table = registry.PLUGINS.create(
             "table",
             settings.table_plugin,
--- a/packages/cardamom-daemon/src/cardamom_daemon/cli.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/cli.py
@@ -71,8 +71,11 @@
     host: typing.Annotated[
         str, _option("HOST", "IP number to listen on.")
     ] = "127.0.0.1",
-    advertise_host: typing.Annotated[
-        str, _option("ADVERTISE_HOST", "IP number that peers call.")
+    peer_url: typing.Annotated[
+        str, _option("PEER_URL", "Address that peers call, if another.")
+    ] = "",
+    source_address: typing.Annotated[
+        str, _option("SOURCE_ADDRESS", "IP number that connections leave by.")
     ] = "",
     caller_port: typing.Annotated[
         int, _option("CALLER_PORT", "Port for callers.")
--- a/packages/cardamom-daemon/src/cardamom_daemon/gossip.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/gossip.py
@@ -74,7 +74,9 @@
             return
         if address == self._fleet.settings.peer_address:
             return
-        pool = pools.Pool()
+        pool = pools.Pool(
+            pools.PoolSettings(source=self._fleet.settings.source_address)
+        )
         headers = {FLEET_HEADER: self._fleet.settings.fleet_secret}
         client = plugins.HttpClient(pool, address, headers)
         peer = Peer(address, pool, client)
--- a/packages/cardamom-daemon/src/cardamom_daemon/settings.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/settings.py
@@ -29,7 +29,8 @@
     caller_port: int = 8080
     peer_port: int = 8081
     operator_port: int = 8082
-    advertise_host: str = ""
+    peer_url: str = ""
+    source_address: str = ""
     peers: tuple[str, ...] = ()
     statsd_host: str = ""
     statsd_port: int = 8125
@@ -49,8 +50,7 @@
     @property
     def peer_address(self) -> str:
         """Return the address at which peers reach this instance."""
-        host = self.advertise_host or self.host
-        return f"http://{host}:{self.peer_port}"
+        return self.peer_url or f"http://{self.host}:{self.peer_port}"
 
 
 def find_errors(settings: Settings) -> typing.Iterator[str]:
@@ -82,6 +82,7 @@
         ("--table-url", settings.table_url, True),
         ("--list-url", settings.list_url, False),
         ("--objects-url", settings.objects_url, False),
+        ("--peer-url", settings.peer_url, False),
         *(("--peer", peer, True) for peer in settings.peers),
     ]
     for flag, url, is_required in urls:
@@ -92,7 +93,7 @@
             yield f"{flag}: {url!r} is not an address like http://10.0.0.1:80"
     for flag, host in (
         ("--host", settings.host),
-        ("--advertise-host", settings.advertise_host or settings.host),
+        ("--source-address", settings.source_address or settings.host),
     ):
         try:
             ipaddress.ip_address(host)
--- a/packages/cardamom-daemon/src/cardamom_daemon/table_sync.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/table_sync.py
@@ -66,11 +66,13 @@
         """
         key = fleets.row_key(name)
         version = base_version + 1
+        expected = self._row_version_by_key.get(key, tables.ABSENT)
         result = await self._fleet.table.commit(
-            {key: self._row_version_by_key.get(key, tables.ABSENT)},
+            {key: expected},
             {key: {**body, VERSION_FIELD: version}},
         )
         if result.committed:
+            self._row_version_by_key[key] = expected + 1
             self._table_versions[name] = version
             document = documents.Document(name, version, dict(body))
             self._fleet.documents.adopt(document)
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -13,11 +13,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class PoolSettings:
-    """How a pool keeps its connections; the limit is per pool, 0 for none."""
+    """How a pool keeps its connections.
+
+    ``limit`` is per pool, 0 for none; ``source`` is the IP number that
+    connections leave by, empty for any.
+    """
 
     limit: int = 0
     idle_age_s: float = IDLE_AGE_S
     reuse: bool = True
+    source: str = ""
 
 
 class Pool:
@@ -65,6 +70,8 @@
 
     def _connector(self) -> aiohttp.TCPConnector:
         kwargs: dict[str, typing.Any] = {"limit": self._settings.limit}
+        if self._settings.source:
+            kwargs["local_addr"] = (self._settings.source, 0)
         if self._settings.reuse:
             kwargs["keepalive_timeout"] = self._settings.idle_age_s
         else:
--- a/packages/cardamom-standins/src/cardamom_standins/engine.py
+++ b/packages/cardamom-standins/src/cardamom_standins/engine.py
@@ -91,6 +91,7 @@
         self.requests = 0
         self.leaks = 0
         self.crashes = 0
+        self.ran: list[str] = []
         self.start_empty()
 
     def start_empty(self) -> None:
@@ -171,6 +172,7 @@
             return base.reply({"error": error}, 409)
         prompt = prompt_of(body, chat)
         if POISON_WORD in prompt:
+            self.ran.append(request.headers.get("X-Request-Id", "req-none"))
             await asyncio.sleep(0.02)
             self.crash()
             return self._cut(request)
@@ -183,6 +185,7 @@
             priority=int(body.get("priority") or 0),
         )
         self._job_by_id[job.request_id] = job
+        self.ran.append(job.request_id)
         try:
             await self._prefill(prompt)
             if body.get("stream"):
@@ -413,6 +416,7 @@
                 "requests": self.requests,
                 "leaks": self.leaks,
                 "crashes": self.crashes,
+                "ran": self.ran,
                 "overcommits": self.memory.overcommits,
             }
         )
--- /dev/null
+++ b/tests/kernel/test_suspicion.py
@@ -0,0 +1,152 @@
+"""Suspicion: poison is isolated after two losses, innocents go free."""
+
+import random
+
+import pytest
+
+from cardamom_kernel import clocks
+from cardamom_kernel import suspicion
+from cardamom_policy import routing
+
+POISON = "poison"
+
+
+class Course:
+    """Targets that die under the poison, and instances that retry."""
+
+    def __init__(
+        self, seed: int, instances: int = 3, targets: int = 6
+    ) -> None:
+        self.random = random.Random(seed)
+        self.clock = clocks.SteppedClock()
+        self.books = [
+            suspicion.Suspicions(self.clock) for _ in range(instances)
+        ]
+        self.boot_by_target = {n: 0 for n in range(targets)}
+        self.losses = 0
+        self.refused: set[str] = set()
+
+    def run_batch(self, target: int, batch: list[tuple[int, str]]) -> set[str]:
+        """Run requests together; returns those that did not finish."""
+        names = {name for _, name in batch}
+        if POISON not in names:
+            for instance, name in batch:
+                self.books[instance].clear(name)
+            return set()
+        self.losses += 1
+        incarnation = f"{target}/{self.boot_by_target[target]}"
+        self.boot_by_target[target] += 1
+        for instance, name in batch:
+            self.books[instance].record_loss(name, incarnation)
+        notes = [note for book in self.books for note in book.export()]
+        for book in self.books:
+            book.merge(notes)
+        return names
+
+    def try_all(self, waiting: dict[str, int]) -> dict[str, int]:
+        """Give each waiting request a target; returns those left."""
+        batches: dict[int, list[tuple[int, str]]] = {}
+        for name, instance in waiting.items():
+            book = self.books[instance]
+            if book.is_refused(name):
+                self.refused.add(name)
+                continue
+            target = self._choose(batches, book.is_suspect(name))
+            if target is not None:
+                batches.setdefault(target, []).append((instance, name))
+        left: set[str] = set()
+        for target, batch in batches.items():
+            left |= self.run_batch(target, batch)
+        placed = {name for batch in batches.values() for _, name in batch}
+        return {
+            name: instance
+            for name, instance in waiting.items()
+            if name not in self.refused
+            and (name in left or name not in placed)
+        }
+
+    def _choose(
+        self,
+        batches: dict[int, list[tuple[int, str]]],
+        is_suspect: bool,
+    ) -> int | None:
+        candidates = [
+            routing.Candidate(
+                id=str(target),  # type: ignore[arg-type]
+                slots=4,
+                own_in_flight=len(batches.get(target, [])),
+                others_in_flight=0,
+                is_local=True,
+                suspects=sum(
+                    self.books[instance].is_suspect(name)
+                    for instance, name in batches.get(target, [])
+                ),
+            )
+            for target in self.boot_by_target
+        ]
+        self.random.shuffle(candidates)
+        chosen = routing.choose(candidates, is_suspect)
+        return int(chosen.id) if chosen else None
+
+
+class TestPoison:
+    """One poison request among innocents, repeated at every instance."""
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_isolated_after_two_losses(self, seed: int) -> None:
+        course = Course(seed)
+        waiting = {f"innocent-{n}": n % 3 for n in range(9)}
+        waiting[POISON] = seed % 3
+        for _ in range(12):
+            waiting = course.try_all(waiting)
+        assert not waiting
+        assert course.refused == {POISON}
+        assert course.losses == suspicion.LOSSES_TO_REFUSE
+        for instance in range(3):
+            waiting = course.try_all({POISON: instance})
+            assert not waiting
+        assert course.losses == suspicion.LOSSES_TO_REFUSE
+
+    def test_mutant_without_sharing_loses_more_targets(self) -> None:
+        course = Course(1)
+        for book in course.books:
+            book.merge = lambda notes: None  # type: ignore[method-assign]
+        for instance in range(3):
+            waiting = {POISON: instance}
+            for _ in range(4):
+                waiting = course.try_all(waiting)
+        assert course.losses > suspicion.LOSSES_TO_REFUSE
+
+
+class TestSuspicions:
+    """Single properties."""
+
+    def test_same_incarnation_counts_once(self) -> None:
+        book = suspicion.Suspicions(clocks.SteppedClock())
+        assert book.record_loss("a", "t/1") == 1
+        assert book.record_loss("a", "t/1") == 1
+        assert not book.is_refused("a")
+        assert book.record_loss("a", "t/2") == 2
+        assert book.is_refused("a")
+
+    def test_exchange_does_not_renew(self) -> None:
+        clock = clocks.SteppedClock()
+        one = suspicion.Suspicions(clock, retention_ms=1_000)
+        two = suspicion.Suspicions(clock, retention_ms=1_000)
+        one.record_loss("a", "t/1")
+        for _ in range(5):
+            clock.step(400)
+            two.merge(one.export())
+            one.merge(two.export())
+        assert not one.is_suspect("a")
+        assert not two.is_suspect("a")
+
+    def test_finishing_clears_a_suspect_but_not_a_refused_one(self) -> None:
+        book = suspicion.Suspicions(clocks.SteppedClock())
+        book.record_loss("a", "t/1")
+        book.clear("a")
+        assert not book.is_suspect("a")
+        book.record_loss("a", "t/1")
+        book.record_loss("a", "t/2")
+        book.clear("a")
+        assert book.is_refused("a")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -136,7 +136,7 @@
             url = self._url(rnd) + "/v1/chat/completions"
             status, answer, wait_s = await self._post(session, url, team, body)
             if status == 200:
-                return _text(answer).startswith(_digest(body))
+                return text_of(answer).startswith(_digest(body))
             await asyncio.sleep(wait_s)
         return False
 
@@ -167,7 +167,7 @@
         url = self._url(rnd) + "/v1/chat/completions"
         status, answer, _ = await self._post(session, url, team, body)
         self._tally.count("model", _outcome(status, answer))
-        if status == 200 and _text(answer) != _expected(body):
+        if status == 200 and text_of(answer) != expected(body):
             self._tally.wrong.append(f"model answer {answer}")
 
     async def _stream(
@@ -190,7 +190,7 @@
             text, error, is_ended = await read_stream(response)
         outcome = "answered" if is_ended else error or "cut"
         self._tally.count("stream", outcome)
-        if is_ended and text != _expected(body):
+        if is_ended and text != expected(body):
             self._tally.wrong.append(f"stream answer {text!r}")
 
     async def _read(
@@ -258,7 +258,8 @@
     return text, error, is_ended
 
 
-def _text(answer: Json) -> str:
+def text_of(answer: Json) -> str:
+    """Return the text of a whole chat answer."""
     return str(answer["choices"][0]["message"]["content"])
 
 
@@ -267,7 +268,8 @@
     return hashlib.sha256(prompt.encode()).hexdigest()[:8]
 
 
-def _expected(body: Json) -> str:
+def expected(body: Json) -> str:
+    """Return the text that the engine stand-in gives to a body."""
     digest = _digest(body)
     return "".join(f"{digest}-{n} " for n in range(body["max_tokens"]))
 
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -88,8 +88,15 @@
             i.operator_url for i in self.instances.values() if i.is_running
         ]
 
-    async def start(self, instances: int) -> None:
-        """Start everything, apply the configuration and create keys."""
+    async def start(
+        self,
+        instances: int,
+        start_more: typing.Callable[[], typing.Awaitable[None]] | None = None,
+    ) -> None:
+        """Start everything, apply the configuration and create keys.
+
+        ``start_more`` starts instances in a way of its own.
+        """
         self.folder.mkdir(parents=True, exist_ok=True)
         self._start_platform()
         self._start_targets()
@@ -100,14 +107,23 @@
         )
         for number in range(instances):
             self.start_instance(number, centres[number % len(centres)])
+        if start_more is not None:
+            await start_more()
         await asyncio.gather(
             *[_until_open(p) for p in self.instances.values()]
         )
         await self._configure()
 
-    def start_instance(self, number: int, centre: str) -> InstanceProc:
-        """Start an instance of cardamomd."""
-        ports = free_ports(3)
+    def start_instance(
+        self,
+        number: int,
+        centre: str,
+        *more: str,
+        ports: list[int] | None = None,
+        peer_url: str = "",
+    ) -> InstanceProc:
+        """Start an instance of cardamomd with its flags and some more."""
+        ports = ports or free_ports(3)
         name = f"entry-{number + 1}"
         seeds = [i.peer_url for i in list(self.instances.values())[:2]]
         seed_flags = [word for url in seeds for word in ("--peer", url)]
@@ -124,13 +140,14 @@
             *("--peer-port", str(ports[1])),
             *("--operator-port", str(ports[2])),
             *seed_flags,
+            *more,
         ]
         handle = self._spawn(name, command)
         proc = InstanceProc(
             name,
             _url(ports[0]),
             handle,
-            _url(ports[1]),
+            peer_url or _url(ports[1]),
             _url(ports[2]),
             centre,
         )
@@ -290,7 +307,7 @@
         name: str,
         command: list[str],
     ) -> subprocess.Popen[bytes]:
-        with open(self.folder / f"{name}.log", "wb") as log:
+        with open(self.folder / f"{name}.log", "ab") as log:
             return subprocess.Popen(
                 command,
                 env=self._env,
