--- a/packages/cardamom-daemon/src/cardamom_daemon/app.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/app.py
@@ -22,6 +22,7 @@
 from cardamom_daemon import share_broker
 from cardamom_daemon import single_calls
 from cardamom_daemon import status
+from cardamom_daemon import suspect_permits
 from cardamom_daemon import table_sync
 from cardamom_daemon import targets
 from cardamom_kernel import clocks
@@ -122,6 +123,7 @@
             self.gossip,
             group,
         )
+        self.permits = suspect_permits.SuspectPermits(fleet, self.gossip)
         self.callers = caller_port.CallerPort(
             fleet,
             self.broker,
@@ -134,6 +136,7 @@
                 self.gossip,
                 self._budget,
                 group,
+                self.permits,
             ),
             plain_calls.PlainCalls(fleet, self.book, self._budget),
             self.single,
@@ -179,7 +182,12 @@
     async def start(self) -> None:
         """Open the ports and begin the background tasks."""
         settings = self.settings
-        peers = peer_port.PeerPort(self.fleet, self.gossip, self.keeper)
+        peers = peer_port.PeerPort(
+            self.fleet,
+            self.gossip,
+            self.keeper,
+            self.permits,
+        )
         operators = operator_port.OperatorPort(
             self.fleet,
             self.changes,
--- a/packages/cardamom-daemon/src/cardamom_daemon/messages.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/messages.py
@@ -90,6 +90,15 @@
     notes: list[suspicion.SuspectNote]
 
 
+@dataclasses.dataclass(frozen=True)
+class PermitWanted:
+    """Asks to run a suspect on a target, or returns the permit."""
+
+    target: str
+    request: str
+    is_return: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class GrantAnswer:
     """The answer to an ask; no grant means nothing to spare."""
--- a/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
@@ -21,6 +21,7 @@
 from cardamom_daemon import running
 from cardamom_daemon import share_broker
 from cardamom_daemon import sse
+from cardamom_daemon import suspect_permits
 from cardamom_daemon import targets as target_module
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
@@ -55,6 +56,7 @@
     loan: shares.Loan
     deadline_ms: int
     running: running.Running
+    may_have_run: bool = False
     tried: set[ids.TargetId] = dataclasses.field(default_factory=set)
 
 
@@ -89,6 +91,7 @@
         gossip: gossips.Gossip,
         budget: retries.RetryBudget,
         group: tasks.TaskGroup,
+        permits: suspect_permits.SuspectPermits,
     ) -> None:
         self._fleet = fleet
         self._broker = broker
@@ -98,6 +101,7 @@
         self._gossip = gossip
         self._budget = budget
         self._group = group
+        self._permits = permits
         book.lost.append(self._target_lost)
 
     async def handle(
@@ -184,27 +188,31 @@
         )
 
     async def _run(self, context: Context) -> web.StreamResponse:
-        """Try targets until one answers or nothing is left to try."""
+        """Try targets until one answers or nothing is left to try.
+
+        A refusal says "not run" only if no attempt may have run.
+        """
+        try:
+            return await self._try_targets(context)
+        except outcomes.Refused as refused:
+            if not context.may_have_run:
+                raise
+            raise outcomes.Refused(
+                dataclasses.replace(refused.refusal, not_run=False)
+            ) from refused
+
+    async def _try_targets(self, context: Context) -> web.StreamResponse:
         self._budget.earn()
         last = Failed(outcomes.Step.ROUTE, outcomes.NO_PEER, "", True)
-        ran = False
-        for attempt in range(MAX_ATTEMPTS):
+        for _ in range(MAX_ATTEMPTS):
             self._refuse_poison(context.fingerprint)
             try:
                 response = await self._attempt(context)
             except AttemptFailed as failure:
                 last = failure.failed
-                ran = ran or not last.not_run
-                LOG.info(
-                    "models: attempt failed",
-                    request=context.id,
-                    step=last.step.value,
-                    peer=last.peer,
-                    error=last.message,
-                )
+                self._note_failed(context, last)
                 if not last.not_run and not self._budget.take():
                     break
-                self._fleet.metrics.count("models.retry")
                 continue
             self._fleet.suspicions.clear(context.fingerprint)
             return response
@@ -214,16 +222,30 @@
                 outcomes.Code.TARGET_FAILED,
                 f"no target gave a whole answer: {last.message}",
                 last.step,
-                not_run=not ran,
+                not_run=True,
                 peer=last.peer,
             )
         )
 
+    def _note_failed(self, context: Context, failed: Failed) -> None:
+        if not failed.not_run:
+            context.may_have_run = True
+        self._fleet.metrics.count("models.attempt_failed")
+        LOG.info(
+            "models: attempt failed",
+            request=context.id,
+            step=failed.step.value,
+            peer=failed.peer,
+            error=failed.message,
+        )
+
     async def _attempt(self, context: Context) -> web.StreamResponse:
         call = self._call(context)
         target = await self._dispatch.acquire(call)
         boot = target.boot
         try:
+            if call.is_suspect:
+                await self._prepare_suspect(context, target, boot)
             callers.recheck(self._fleet, context.caller)
             context.running.was_sent = True
             with self._fleet.tracer.start_as_current_span(
@@ -242,6 +264,29 @@
             raise
         finally:
             self._dispatch.release(target, call)
+            if call.is_suspect:
+                self._spawn(self._permits.give_back(target.id, context.id))
+
+    async def _prepare_suspect(
+        self,
+        context: Context,
+        target: target_module.Target,
+        boot: str,
+    ) -> None:
+        """Wait for the target to run no other suspect, and look at it.
+
+        The suspect before may have killed it; a request sent to a dead
+        target would be scored although it never ran.
+        """
+        await self._permits.obtain(target.id, context.id)
+        self._refuse_poison(context.fingerprint)
+        if await self._book.is_dead(target, boot):
+            raise _failed(
+                outcomes.Step.CONNECT,
+                target,
+                "the target died before the request was sent",
+                not_run=True,
+            )
 
     def _call(self, context: Context) -> dispatcher.Call:
         limits = self._fleet.catalog.configuration.limits
@@ -254,6 +299,12 @@
         exclude = set(context.tried)
         if holders and holders <= exclude:
             exclude = set()
+        is_suspect = self._fleet.suspicions.is_suspect(context.fingerprint)
+        queue_ms = (
+            limits.request_timeout_ms
+            if is_suspect
+            else limits.queue_timeout_ms
+        )
         return dispatcher.Call(
             context.id,
             context.caller.team,
@@ -261,8 +312,8 @@
             context.parsed.cost.total,
             context.fingerprint,
             context.parsed.prefix,
-            self._fleet.suspicions.is_suspect(context.fingerprint),
-            min(context.deadline_ms, now_ms + limits.queue_timeout_ms),
+            is_suspect,
+            min(context.deadline_ms, now_ms + queue_ms),
             exclude,
         )
 
@@ -558,7 +609,7 @@
         boot: str,
     ) -> None:
         """Score the request if its target died, before it is retried."""
-        if not await self._book.is_dead(target, boot):
+        if not boot or not await self._book.is_dead(target, boot):
             return
         self._fleet.suspicions.record_loss(
             context.fingerprint,
--- a/packages/cardamom-daemon/src/cardamom_daemon/peer_port.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/peer_port.py
@@ -10,6 +10,7 @@
 from cardamom_daemon import gossip as gossips
 from cardamom_daemon import messages
 from cardamom_daemon import roster_keeper
+from cardamom_daemon import suspect_permits
 from cardamom_kernel import shares
 
 MAX_MESSAGE_BYTES = 16 << 20
@@ -25,10 +26,12 @@
         fleet: fleets.Fleet,
         gossip: gossips.Gossip,
         keeper: roster_keeper.RosterKeeper,
+        permits: suspect_permits.SuspectPermits,
     ) -> None:
         self._fleet = fleet
         self._gossip = gossip
         self._keeper = keeper
+        self._permits = permits
 
     def application(self) -> web.Application:
         """Return the web application of the port."""
@@ -42,6 +45,7 @@
                 web.post("/peer/v1/documents", self._documents),
                 web.post("/peer/v1/withdrawn", self._withdrawn),
                 web.post("/peer/v1/suspects", self._suspects),
+                web.post("/peer/v1/suspects/permit", self._permit),
                 web.post("/peer/v1/shares/ask", self._ask),
                 web.post("/peer/v1/shares/give", self._give),
                 web.post("/peer/v1/shares/round", self._round),
@@ -100,6 +104,10 @@
         self._fleet.suspicions.merge(message.notes)
         return _reply(messages.Accepted(True))
 
+    async def _permit(self, request: web.Request) -> web.Response:
+        wanted = await _read(request, messages.PermitWanted)
+        return _reply(messages.Accepted(self._permits.handle(wanted)))
+
     async def _ask(self, request: web.Request) -> web.Response:
         ask = await _read(request, shares.Ask)
         may_lend = self._fleet.is_fresh() and self._fleet.may_hold_shares()
--- a/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
@@ -82,7 +82,10 @@
         call: PlainCall,
         caller: callers.Caller | None,
     ) -> PlainAnswer:
-        """Return the answer of some target; raises outcomes.Refused."""
+        """Return the answer of some target; raises outcomes.Refused.
+
+        A refusal says "not run" only if no attempt may have run.
+        """
         self._budget.earn()
         tried: set[ids.TargetId] = set()
         ran = False
@@ -91,10 +94,13 @@
             target = choose_service(self._book, call.route.group, tried)
             if target is None:
                 break
-            if caller is not None:
-                callers.recheck(self._fleet, caller)
             try:
+                callers.recheck(self._fleet, caller)
                 return await self._attempt(call, target)
+            except outcomes.Refused as refused:
+                raise outcomes.Refused(
+                    dataclasses.replace(refused.refusal, not_run=not ran)
+                ) from refused
             except aiohttp.ClientConnectorError as error:
                 self._book.note_failure(target)
                 step, message, peer = (
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -231,7 +231,10 @@
         start_s: float,
     ) -> None:
         if response.status != 200:
-            self._note("model", response.status, await response.json())
+            answer = await response.json()
+            code = self._note("model", response.status, answer)
+            if code == "suspect_refused":
+                self._checker.violation("innocents are not refused", answer)
             return
         if body["stream"]:
             text, error, is_ended = await demo.read_stream(response)
