Provoke the faults at the edges, and mend what they showed

Eighteen callers waited over 30 s on connections gone silent, since a whole answer had no bound but the call's deadline.

Change: only requests that were sent are scored. An instance that is not fresh says not_fresh, not that a key is unknown.

--- a/packages/cardamom-daemon/src/cardamom_daemon/callers.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/callers.py
@@ -50,13 +50,18 @@
 
 
 def authenticate(fleet: fleets.Fleet, key: str | None) -> Caller:
-    """Return the caller of a key; raises outcomes.Refused."""
+    """Return the caller of a key; raises outcomes.Refused.
+
+    Only a fresh instance may say that a key is unknown, since one that has
+    just started has not read the keys yet.
+    """
     if key is None:
         raise outcomes.Refused(
             _unauthorized("no key was shown; send Authorization: Bearer KEY")
         )
     record = fleet.keyring.find(key)
     if record is None:
+        require_fresh(fleet)
         raise outcomes.Refused(_unauthorized("the key is not known"))
     if record.id in fleet.withdrawn:
         raise outcomes.Refused(running.withdrawn_refusal(not_run=True))
--- a/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
@@ -33,8 +33,8 @@
 
 LOG = structlog.get_logger("cardamom.models")
 
-FIRST_BYTE_TIMEOUT_S = 20.0
 STALL_TIMEOUT_S = 5.0
+PACE_FACTOR = 4
 CANCEL_TIMEOUT_S = 1.0
 MAX_ATTEMPTS = 4
 MAX_RESUMES = 3
@@ -248,6 +248,7 @@
                 await self._prepare_suspect(context, target, boot)
             callers.recheck(self._fleet, context.caller)
             context.running.was_sent = True
+            self._book.mark_sent(target, context.id)
             with self._fleet.tracer.start_as_current_span(
                 "target",
                 kind=trace.SpanKind.CLIENT,
@@ -352,15 +353,28 @@
             return await self._whole(context, target, response)
 
     def _timeout(self, context: Context) -> aiohttp.ClientTimeout:
+        """Bound the silence of a target, so that a lost connection shows.
+
+        A whole answer comes after all its tokens, so it may take several
+        times what the objective allows them.
+        """
         left_ms = context.deadline_ms - self._fleet.clock.now_ms()
-        total_s = max(0.001, left_ms / 1000)
+        left_s = max(0.001, left_ms / 1000)
         if context.parsed.is_stream:
             return aiohttp.ClientTimeout(
-                total=total_s,
+                total=left_s,
                 sock_connect=1.0,
-                sock_read=min(total_s, FIRST_BYTE_TIMEOUT_S),
+                sock_read=min(left_s, STALL_TIMEOUT_S),
             )
-        return aiohttp.ClientTimeout(total=total_s, sock_connect=1.0)
+        objectives = self._fleet.catalog.configuration.objectives
+        tokens_ms = (
+            context.parsed.cost.answer_tokens * objectives.between_tokens_ms
+        )
+        whole_s = STALL_TIMEOUT_S + PACE_FACTOR * tokens_ms / 1000
+        return aiohttp.ClientTimeout(
+            total=min(left_s, whole_s),
+            sock_connect=1.0,
+        )
 
     def _headers(self, context: Context) -> dict[str, str]:
         headers = {
@@ -624,7 +638,11 @@
         boot: str,
     ) -> None:
         """Score what was in flight on a target that died."""
-        doomed = [f for f in target.in_flight.values() if f.boot == boot]
+        doomed = [
+            in_flight
+            for in_flight in target.in_flight.values()
+            if in_flight.boot == boot and in_flight.was_sent
+        ]
         for in_flight in doomed:
             self._fleet.suspicions.record_loss(
                 in_flight.fingerprint,
--- a/packages/cardamom-daemon/src/cardamom_daemon/targets.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/targets.py
@@ -30,11 +30,15 @@
 
 @dataclasses.dataclass
 class InFlight:
-    """One request at a target, for suspicion after the target's death."""
+    """One request at a target, for suspicion after the target's death.
+
+    It holds a slot from the start; ``was_sent`` is set when it leaves.
+    """
 
     fingerprint: str
     is_suspect: bool
     boot: str
+    was_sent: bool = False
 
 
 class Target:
@@ -193,6 +197,12 @@
             target.boot,
         )
 
+    def mark_sent(self, target: Target, request: ids.RequestId) -> None:
+        """Note that a request is about to be sent."""
+        in_flight = target.in_flight.get(request)
+        if in_flight is not None:
+            in_flight.was_sent = True
+
     def end(self, target: Target, request: ids.RequestId) -> None:
         """Count a request as no longer in flight."""
         target.in_flight.pop(request, None)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,9 @@
 import os
 
 import hypothesis
+import pytest
+
+from cardamom_kernel import telemetry
 
 hypothesis.settings.register_profile(
     "ci",
@@ -21,3 +24,9 @@
     max_examples=3_000,
 )
 hypothesis.settings.load_profile(os.environ.get("CARDAMOM_TESTS", "ci"))
+
+
+@pytest.fixture(autouse=True, scope="session")
+def quiet_logs() -> None:
+    """Keep the logs of instances under test to warnings."""
+    telemetry.configure_logs(telemetry.LogFormat.CONSOLE, "error", "test")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -129,6 +129,7 @@
 def configuration(world_urls: dict[str, str]) -> Json:
     """Return a small configuration of two engines and two services."""
     targets: Json = {}
+    engines = sum(name.startswith("engine") for name in world_urls)
     for name, url in world_urls.items():
         if name.startswith("engine"):
             targets[name] = {
@@ -155,7 +156,7 @@
             "team-b": {"rate_tokens_per_s": 1000, "burst_tokens": 1000},
         },
         "models": {
-            "small": {"memory_mb": 300, "min_ready": 2},
+            "small": {"memory_mb": 300, "min_ready": min(2, engines)},
             "large": {"memory_mb": 500},
         },
         "adapters": {"tuned": {"model": "small", "memory_mb": 10}},
