--- a/packages/cardamom-config/src/cardamom_config/schema.py
+++ b/packages/cardamom-config/src/cardamom_config/schema.py
@@ -64,6 +64,7 @@
     data_centre: Name
     memory_mb: int = pydantic.Field(default=0, ge=0)
     slots: int = pydantic.Field(default=32, gt=0)
+    tokens_per_s: float = pydantic.Field(default=800, gt=0)
     checks_fencing: bool = False
 
 
--- a/packages/cardamom-daemon/src/cardamom_daemon/dispatcher.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/dispatcher.py
@@ -29,6 +29,7 @@
     fingerprint: str
     prefix: str
     is_suspect: bool
+    on_time_ms: int
     deadline_ms: int
     exclude: set[ids.TargetId] = dataclasses.field(default_factory=set)
 
@@ -71,6 +72,7 @@
             call.team,
             str(call.name),
             call.cost,
+            call.on_time_ms,
             call.deadline_ms,
             waiting,
         )
@@ -120,7 +122,8 @@
                 chosen[:] = [candidate]
             return candidate is not None
 
-        while (entry := self._queue.pop(can_run)) is not None:
+        now_ms = self._fleet.clock.now_ms()
+        while (entry := self._queue.pop(can_run, now_ms)) is not None:
             if entry.cancelled or entry.item.future.done():
                 continue
             call = entry.item.call
@@ -131,7 +134,7 @@
                 call.fingerprint,
                 call.is_suspect,
             )
-            self._estimate.served(call.cost, self._fleet.clock.now_ms())
+            self._estimate.served(call.cost, now_ms)
             entry.item.future.set_result(target)
 
     def _choose(
--- a/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_calls.py
@@ -54,6 +54,7 @@
     name: catalog.ModelName
     fingerprint: str
     loan: shares.Loan
+    arrived_ms: int
     deadline_ms: int
     running: running.Running
     may_have_run: bool = False
@@ -126,7 +127,7 @@
         )
         self._refuse_poison(fingerprint)
         loan = await self._charge(caller.team, parsed.cost.total)
-        self._meter.arrived(name, parsed.cost.total)
+        self._meter.arrived(name, parsed.cost.answer_tokens)
         now_ms = self._fleet.clock.now_ms()
         context = Context(
             request_id,
@@ -136,6 +137,7 @@
             name,
             fingerprint,
             loan,
+            now_ms,
             now_ms + limits.request_timeout_ms,
             entry,
         )
@@ -291,6 +293,7 @@
 
     def _call(self, context: Context) -> dispatcher.Call:
         limits = self._fleet.catalog.configuration.limits
+        objectives = self._fleet.catalog.configuration.objectives
         now_ms = self._fleet.clock.now_ms()
         holders = {
             target.id
@@ -314,6 +317,7 @@
             context.fingerprint,
             context.parsed.prefix,
             is_suspect,
+            context.arrived_ms + objectives.first_token_ms,
             min(context.deadline_ms, now_ms + queue_ms),
             exclude,
         )
--- a/packages/cardamom-daemon/src/cardamom_daemon/placer.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/placer.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 import structlog
 
@@ -22,7 +23,6 @@
 LOG = structlog.get_logger("cardamom.placer")
 
 ORDER_LIFETIME_MS = 4_000
-CAPACITY_TOKENS_PER_S = 2_000.0
 KEPT_MOVES = 200
 
 
@@ -173,9 +173,14 @@
             engines=[self._engine(t) for t in self._book.engines()],
             demand_by_name=self._demand(),
             now_ms=now_ms,
-            capacity_tokens_per_s=CAPACITY_TOKENS_PER_S,
+            capacity_tokens_per_s=self._capacity(),
         )
 
+    def _capacity(self) -> float:
+        """Return the answer tokens a second of a typical engine."""
+        engines = self._fleet.catalog.configuration.engines().values()
+        return statistics.median(e.tokens_per_s for e in engines)
+
     def _engine(self, target: target_module.Target) -> placement.Engine:
         now_ms = self._fleet.clock.now_ms()
         by_name = {
--- a/packages/cardamom-policy/src/cardamom_policy/fairness.py
+++ b/packages/cardamom-policy/src/cardamom_policy/fairness.py
@@ -2,11 +2,13 @@
 
 Start-time fair queueing after Goyal, Vin and Cheng, 1996, at two levels.  An
 item that cannot run now is stepped over, so a model that waits for a target
-holds up no other.
+holds up no other.  Entries that can still start on time go before those that
+are late already, so that a backlog does not make everybody late.
 """
 
 import collections
 import dataclasses
+import itertools
 import typing
 
 from cardamom_kernel import ids
@@ -16,22 +18,49 @@
 
 @dataclasses.dataclass
 class Entry(typing.Generic[Item]):
-    """A queued item with its cost in tokens and its deadline."""
+    """A queued item with its cost in tokens.
+
+    After ``on_time_ms`` it is late; after ``deadline_ms`` it is given up.
+    """
 
     team: ids.TeamId
     model: str
     cost: float
+    on_time_ms: int
     deadline_ms: int
     item: Item
     cancelled: bool = False
 
 
+Entries = collections.deque[Entry[Item]]
+
+
 class _Flow(typing.Generic[Item]):
     """One model's entries within a team, in order of arrival."""
 
     def __init__(self, start: float) -> None:
         self.virtual = start
-        self.entries: collections.deque[Entry[Item]] = collections.deque()
+        self.timely: Entries[Item] = collections.deque()
+        self.late: Entries[Item] = collections.deque()
+
+    def __len__(self) -> int:
+        return len(self.timely) + len(self.late)
+
+    def __iter__(self) -> typing.Iterator[Entry[Item]]:
+        return itertools.chain(self.late, self.timely)
+
+    def age(self, now_ms: int) -> None:
+        """Move what has become late."""
+        while self.timely and self.timely[0].on_time_ms <= now_ms:
+            self.late.append(self.timely.popleft())
+
+    def drop_expired(self, now_ms: int) -> list[Entry[Item]]:
+        """Take out what is given up."""
+        expired = [entry for entry in self if entry.deadline_ms <= now_ms]
+        if expired:
+            self.late = _keep(self.late, now_ms)
+            self.timely = _keep(self.timely, now_ms)
+        return expired
 
 
 class _TeamQueue(typing.Generic[Item]):
@@ -75,49 +104,59 @@
         if flow is None:
             flow = _Flow(queue.model_virtual)
             queue.by_model[entry.model] = flow
-        flow.entries.append(entry)
+        flow.timely.append(entry)
         self._length += 1
 
     def pop(
         self,
         can_run: typing.Callable[[Entry[Item]], bool],
+        now_ms: int,
     ) -> Entry[Item] | None:
         """Take the next entry that can run, or return None.
 
-        ``can_run`` is asked once for each model's first entry at most.
+        ``can_run`` is asked once for each model of each team at most, twice
+        if the model has both timely and late entries.
         """
         teams = sorted(
             (t for t in self._by_team.items() if t[1].by_model),
             key=lambda pair: pair[1].virtual,
         )
-        for team, queue in teams:
-            for model, flow in queue.ordered():
-                entry = flow.entries[0]
+        flows = [
+            (team, queue, model, flow)
+            for team, queue in teams
+            for model, flow in queue.ordered()
+        ]
+        for _, _, _, flow in flows:
+            flow.age(now_ms)
+        for is_late in (False, True):
+            for team, queue, model, flow in flows:
+                entries = flow.late if is_late else flow.timely
+                if not entries:
+                    continue
+                entry = entries[0]
                 if entry.cancelled or can_run(entry):
-                    self._take(team, queue, model, flow)
+                    entries.popleft()
+                    self._serve(team, queue, model, flow, entry)
                     return entry
         return None
 
     def expired(self, now_ms: int) -> list[Entry[Item]]:
         """Take out the entries whose deadline has passed."""
-        late: list[Entry[Item]] = []
+        expired: list[Entry[Item]] = []
         for queue in self._by_team.values():
             for model, flow in list(queue.by_model.items()):
-                late += [e for e in flow.entries if e.deadline_ms <= now_ms]
-                flow.entries = collections.deque(
-                    e for e in flow.entries if e.deadline_ms > now_ms
-                )
-                if not flow.entries:
-                    del queue.by_model[model]
-        self._length -= len(late)
-        return late
+                expired += flow.drop_expired(now_ms)
+                if not flow:
+                    self._retire(queue, model, flow)
+        self._length -= len(expired)
+        return expired
 
     def waiting_by_model(self) -> dict[str, int]:
         """Return how many entries wait, by model."""
         counts: collections.Counter[str] = collections.Counter()
         for queue in self._by_team.values():
             for model, flow in queue.by_model.items():
-                counts[model] += len(flow.entries)
+                counts[model] += len(flow)
         return dict(counts)
 
     def waiting_tokens(self, team: ids.TeamId) -> float:
@@ -125,20 +164,17 @@
         queue = self._by_team.get(team)
         if queue is None:
             return 0.0
-        return sum(
-            entry.cost
-            for flow in queue.by_model.values()
-            for entry in flow.entries
-        )
+        flows = queue.by_model.values()
+        return sum(e.cost for e in itertools.chain.from_iterable(flows))
 
-    def _take(
+    def _serve(
         self,
         team: ids.TeamId,
         queue: _TeamQueue[Item],
         model: str,
         flow: _Flow[Item],
+        entry: Entry[Item],
     ) -> None:
-        entry = flow.entries.popleft()
         self._length -= 1
         if not entry.cancelled:
             weight = self._weight_by_team.get(team, 1.0)
@@ -146,6 +182,18 @@
             queue.model_virtual = max(queue.model_virtual, flow.virtual)
             queue.virtual += entry.cost / weight
             flow.virtual += entry.cost
-        if not flow.entries:
-            queue.model_virtual = max(queue.model_virtual, flow.virtual)
-            del queue.by_model[model]
+        if not flow:
+            self._retire(queue, model, flow)
+
+    def _retire(
+        self,
+        queue: _TeamQueue[Item],
+        model: str,
+        flow: _Flow[Item],
+    ) -> None:
+        queue.model_virtual = max(queue.model_virtual, flow.virtual)
+        del queue.by_model[model]
+
+
+def _keep(entries: Entries[Item], now_ms: int) -> Entries[Item]:
+    return collections.deque(e for e in entries if e.deadline_ms > now_ms)
--- a/packages/cardamom-policy/src/cardamom_policy/placement.py
+++ b/packages/cardamom-policy/src/cardamom_policy/placement.py
@@ -4,19 +4,26 @@
 until the engine confirms that the resident is gone.  A plan therefore never
 counts on an unload that has not been confirmed: it orders the unload first
 and the load in a later pass.
+
+A plan restores what is missing first, then spreads demand: the model with the
+most demand for each of its copies gets another one on the least loaded
+engine, in free memory or in the place of a copy that earns far less.
 """
 
 import dataclasses
 import enum
-import itertools
 import typing
 
 from cardamom_config import schema
 
-HOT_SHARE = 0.75
 EVICT_IDLE_MS = 20_000
 MIN_RESIDENCE_MS = 5_000
 FULL_TURN_MS = 20_000
+ADAPTER_KEEP_MS = 60_000
+ADAPTER_RESERVE_MB = 2_000
+SPREAD_FLOOR = 0.04
+SPREAD_MARGIN = 0.05
+EVICT_FACTOR = 3.0
 
 Name = tuple[str, str]
 
@@ -69,6 +76,11 @@
         """Return the memory that nothing may be using."""
         return self.memory_mb - sum(h.memory_mb for h in self.by_name.values())
 
+    def serves(self, name: Name) -> bool:
+        """Tell whether a resident is held and not about to leave."""
+        held = self.by_name.get(name)
+        return self.is_usable and held is not None and not held.is_leaving
+
 
 @dataclasses.dataclass(frozen=True)
 class Demand:
@@ -93,319 +105,378 @@
         """Return the demand for a model or an adapter."""
         return self.demand_by_name.get(name, Demand())
 
+    def model_memory_mb(self, model: str) -> int:
+        """Return what a model takes, its KV cache included."""
+        spec = self.configuration.models[model]
+        return spec.memory_mb + spec.kv_mb
+
 
 def plan(situation: Situation) -> list[Move]:
-    """Return the next moves, the most urgent first, one for each engine.
+    """Return the next moves, the most urgent first.
 
-    Moves on different engines do not depend on each other, and each leaves
-    its engine within its memory whatever becomes of the others.
+    Each engine stays within its memory whatever becomes of the moves.
     """
-    taken: set[str] = set()
-    moves: list[Move] = []
-    for move in itertools.chain(
-        _stale_versions(situation),
-        _missing_models(situation),
-        _missing_adapters(situation),
-        _crowded_models(situation),
-    ):
-        if move.engine in taken:
-            continue
-        taken.add(move.engine)
-        moves.append(move)
-    return moves
+    draft = _Draft(situation)
+    _unload_stale(draft)
+    _restore_models(draft)
+    _load_adapters(draft)
+    _spread_models(draft)
+    _fill_free_memory(draft)
+    return draft.moves
+
+
+class _Draft:
+    """The moves chosen so far and what they take."""
+
+    def __init__(self, situation: Situation) -> None:
+        self.situation = situation
+        self.moves: list[Move] = []
+        self.engines = [e for e in situation.engines if e.is_usable]
+        self.free_mb = {e.id: e.free_mb for e in self.engines}
+        self.unloading = {
+            engine.id
+            for engine in self.engines
+            if any(held.is_leaving for held in engine.by_name.values())
+        }
+        self.holders = {
+            model: [e for e in self.engines if e.serves((model, ""))]
+            for model in situation.configuration.models
+        }
+        self.load = {engine.id: 0.0 for engine in self.engines}
+        for model in self.holders:
+            self._count_load(model, 1.0)
+
+    def per_copy(self, model: str, fewer: int = 0) -> float:
+        """Return the demand for each copy, if there were fewer copies."""
+        copies = max(1, len(self.holders[model]) - fewer)
+        return self.situation.demand((model, "")).tokens_per_s / copies
+
+    def least_loaded(self, engines: list[Engine]) -> list[Engine]:
+        """Return engines by load, the least loaded first."""
+        return sorted(engines, key=lambda e: (self.load[e.id], e.id))
+
+    def load_model(self, engine: Engine, model: str, reason: str) -> None:
+        """Add a load and its memory and demand."""
+        version = self.situation.configuration.models[model].version
+        needed_mb = self.situation.model_memory_mb(model)
+        self._add(
+            MoveKind.LOAD, engine, (model, ""), version, needed_mb, reason
+        )
+        self.free_mb[engine.id] -= needed_mb
+        self._count_load(model, -1.0)
+        self.holders[model].append(engine)
+        self._count_load(model, 1.0)
+
+    def load_adapter(self, engine: Engine, adapter: str, reason: str) -> None:
+        """Add a load of an adapter and its memory."""
+        spec = self.situation.configuration.adapters[adapter]
+        name = (spec.model, adapter)
+        self._add(
+            MoveKind.LOAD, engine, name, spec.version, spec.memory_mb, reason
+        )
+        self.free_mb[engine.id] -= spec.memory_mb
+
+    def unload(self, engine: Engine, held: Held, reason: str) -> None:
+        """Add an unload; its memory stays counted until it is confirmed."""
+        name = (held.model, held.adapter)
+        self._add(
+            MoveKind.UNLOAD, engine, name, held.version, held.memory_mb, reason
+        )
+        self.unloading.add(engine.id)
+        if not held.adapter and held.model in self.holders:
+            self._count_load(held.model, -1.0)
+            self.holders[held.model] = [
+                e for e in self.holders[held.model] if e.id != engine.id
+            ]
+            self._count_load(held.model, 1.0)
+
+    def _add(
+        self,
+        kind: MoveKind,
+        engine: Engine,
+        name: Name,
+        version: str,
+        memory_mb: int,
+        reason: str,
+    ) -> None:
+        self.moves.append(
+            Move(kind, engine.id, *name, version, memory_mb, reason)
+        )
+
+    def _count_load(self, model: str, sign: float) -> None:
+        share = sign * self.per_copy(model)
+        for engine in self.holders[model]:
+            self.load[engine.id] += share
+
+
+def _unload_stale(draft: _Draft) -> None:
+    """Unload what the configuration no longer lists, one copy at a time."""
+    for engine in draft.engines:
+        for held in engine.by_name.values():
+            if held.is_leaving or not held.is_ready:
+                continue
+            wanted = _wanted_version(draft, held)
+            if wanted == held.version:
+                continue
+            if wanted is None or not _is_last_ready(draft, engine, held):
+                reason = f"version {held.version} is replaced by {wanted}"
+                draft.unload(engine, held, reason)
+                break
 
 
-def copies_wanted(situation: Situation, model: str) -> int:
-    """Return how many engines should hold a model."""
-    spec = situation.configuration.models[model]
-    demand = situation.demand((model, ""))
-    usable = sum(1 for engine in situation.engines if engine.is_usable)
-    per_copy = situation.capacity_tokens_per_s * HOT_SHARE
-    by_load = int(-(-demand.tokens_per_s // per_copy)) if per_copy else 0
-    needed = max(spec.min_ready, by_load, 1 if demand.waiting else 0)
-    return min(needed, usable)
+def _wanted_version(draft: _Draft, held: Held) -> str | None:
+    configuration = draft.situation.configuration
+    if held.adapter:
+        spec = configuration.adapters.get(held.adapter)
+        return spec.version if spec and spec.model == held.model else None
+    listed = configuration.models.get(held.model)
+    return listed.version if listed else None
 
 
-def _holders(situation: Situation, name: Name) -> list[Engine]:
-    return [
-        engine
-        for engine in situation.engines
-        if engine.is_usable
-        and name in engine.by_name
-        and not engine.by_name[name].is_leaving
-    ]
+def _is_last_ready(draft: _Draft, engine: Engine, held: Held) -> bool:
+    """Tell whether no other engine could answer for a model."""
+    if held.adapter or len(draft.engines) == 1:
+        return False
+    name = (held.model, "")
+    return not any(
+        other.serves(name) and other.by_name[name].is_ready
+        for other in draft.engines
+        if other.id != engine.id
+    )
 
 
-def _missing_models(situation: Situation) -> typing.Iterator[Move]:
+def _restore_models(draft: _Draft) -> None:
     """Load models that have too few copies, the most wanted first."""
-    models = situation.configuration.models
 
-    def urgency(model: str) -> tuple[float, float, str]:
-        demand = situation.demand((model, ""))
+    def urgency(model: str) -> tuple[int, float, str]:
+        demand = draft.situation.demand((model, ""))
         return (-demand.waiting, -demand.tokens_per_s, model)
 
-    for model in sorted(models, key=urgency):
-        every = _holders(situation, (model, ""))
-        holders = [
-            engine
-            for engine in every
-            if engine.by_name[(model, "")].version == models[model].version
-        ]
-        replaced = 1 if len(holders) < len(every) else 0
-        wanted = max(replaced, copies_wanted(situation, model))
-        if len(holders) >= wanted:
+    for model in sorted(draft.situation.configuration.models, key=urgency):
+        current = _current_holders(draft, model)
+        wanted = _copies_needed(draft, model, len(current))
+        if len(current) >= wanted:
             continue
-        reason = f"{len(holders)} of {wanted} wanted copies"
-        yield from _place(situation, model, holders, reason)
+        reason = f"{len(current)} of {wanted} needed copies"
+        if not _place(draft, model, reason, 0):
+            _make_room(draft, model, reason)
 
 
-def _crowded_models(situation: Situation) -> typing.Iterator[Move]:
-    """Fill free memory with models that are nowhere, for reachability."""
-    for model in sorted(situation.configuration.models):
-        if _holders(situation, (model, "")):
-            continue
-        spec = situation.configuration.models[model]
-        needed_mb = spec.memory_mb + spec.kv_mb
-        roomy = [
-            engine
-            for engine in situation.engines
-            if engine.is_usable and engine.free_mb >= needed_mb
-        ]
-        if roomy:
-            engine = max(roomy, key=lambda e: (e.free_mb, e.id))
-            yield _load_model(situation, engine, model, "free memory")
+def _current_holders(draft: _Draft, model: str) -> list[Engine]:
+    """Return the holders of the version that is wanted."""
+    version = draft.situation.configuration.models[model].version
+    return [
+        engine
+        for engine in draft.holders[model]
+        if (model, "") not in engine.by_name
+        or engine.by_name[(model, "")].version == version
+    ]
 
 
-def _place(
-    situation: Situation,
-    model: str,
-    holders: list[Engine],
-    reason: str,
-) -> typing.Iterator[Move]:
-    spec = situation.configuration.models[model]
-    needed_mb = spec.memory_mb + spec.kv_mb
-    held_in = {engine.data_centre for engine in holders}
-    held_by = {engine.id for engine in holders}
-    others = [
+def _copies_needed(draft: _Draft, model: str, current: int) -> int:
+    spec = draft.situation.configuration.models[model]
+    is_waited_for = draft.situation.demand((model, "")).waiting > 0
+    is_replaced = current < len(draft.holders[model])
+    needed = max(spec.min_ready, 1 if is_waited_for or is_replaced else 0)
+    return min(needed, len(draft.engines))
+
+
+def _place(draft: _Draft, model: str, reason: str, reserve_mb: int) -> bool:
+    """Load a model on the best engine with room, if there is one.
+
+    Another data centre than those of its copies goes first.
+    """
+    needed_mb = draft.situation.model_memory_mb(model) + reserve_mb
+    centres = {engine.data_centre for engine in draft.holders[model]}
+    roomy = [
         engine
-        for engine in situation.engines
-        if engine.is_usable
-        and engine.id not in held_by
-        and (model, "") not in engine.by_name
-        and engine.memory_mb >= needed_mb
+        for engine in _without(draft, model)
+        if draft.free_mb[engine.id] >= needed_mb
     ]
-    others.sort(key=lambda e: (e.data_centre in held_in, -e.free_mb, e.id))
-    for engine in others:
-        if engine.free_mb >= needed_mb:
-            yield _load_model(situation, engine, model, reason)
-            return
-    for engine in others:
-        victims = list(_victims(situation, engine, needed_mb, model))
+    if not roomy:
+        return False
+    ordered = draft.least_loaded(roomy)
+    ordered.sort(key=lambda e: e.data_centre in centres)
+    draft.load_model(ordered[0], model, reason)
+    return True
+
+
+def _without(draft: _Draft, model: str) -> list[Engine]:
+    """Return the engines that nothing of a model may be on."""
+    holding = {engine.id for engine in draft.holders[model]}
+    return [
+        engine
+        for engine in draft.engines
+        if engine.id not in holding and (model, "") not in engine.by_name
+    ]
+
+
+def _make_room(draft: _Draft, model: str, reason: str) -> None:
+    """Unload the copy that is missed least, for a model that needs one."""
+    needed_mb = draft.situation.model_memory_mb(model)
+    options: list[tuple[float, str, Engine, list[Held]]] = []
+    for engine in _without(draft, model):
+        if engine.id in draft.unloading or engine.memory_mb < needed_mb:
+            continue
+        victims = _victims(draft, engine, needed_mb, model)
         if victims:
-            yield from victims
-            return
+            cost = sum(draft.per_copy(held.model) for held in victims)
+            options.append((cost, engine.id, engine, victims))
+    if not options:
+        return
+    _, _, engine, victims = min(options, key=lambda option: option[:2])
+    for held in victims:
+        draft.unload(engine, held, f"makes room for {model}: {reason}")
 
 
 def _victims(
-    situation: Situation,
+    draft: _Draft,
     engine: Engine,
     needed_mb: int,
     model: str,
-) -> typing.Iterator[Move]:
-    """Yield an unload that makes room, or nothing if none is justified."""
+) -> list[Held]:
+    """Return the copies whose unload makes room, the least missed first."""
     candidates = [
         held
-        for (_, adapter), held in engine.by_name.items()
-        if not adapter
+        for held in engine.by_name.values()
+        if not held.adapter
         and held.is_ready
         and not held.is_leaving
-        and situation.now_ms - held.since_ms >= MIN_RESIDENCE_MS
-        and _may_evict(situation, held, model)
+        and _may_evict(draft, held, model)
     ]
-    candidates.sort(key=lambda h: _value(situation, h.model))
-    freed_mb = engine.free_mb + sum(
-        h.memory_mb for h in engine.by_name.values() if h.is_leaving
-    )
+    candidates.sort(key=lambda held: _value(draft, held))
+    missing_mb = needed_mb - draft.free_mb[engine.id]
     chosen: list[Held] = []
     for held in candidates:
-        if freed_mb >= needed_mb:
+        if missing_mb <= 0:
             break
         chosen.append(held)
-        freed_mb += held.memory_mb
-    if freed_mb < needed_mb or not chosen:
-        return
-    victim = chosen[0]
-    yield Move(
-        MoveKind.UNLOAD,
-        engine.id,
-        victim.model,
-        "",
-        victim.version,
-        victim.memory_mb,
-        f"makes room for {model}",
+        missing_mb -= _memory_with_adapters(engine, held)
+    return chosen if missing_mb <= 0 else []
+
+
+def _memory_with_adapters(engine: Engine, held: Held) -> int:
+    return sum(
+        other.memory_mb
+        for other in engine.by_name.values()
+        if other.model == held.model
     )
 
 
-def _may_evict(situation: Situation, held: Held, incoming: str) -> bool:
-    """Tell whether a copy may make room for another model.
+def _value(draft: _Draft, held: Held) -> tuple[bool, float, str]:
+    """Return what a copy is worth: the last of its model the most."""
+    if held.model not in draft.holders:
+        return (False, -1.0, held.model)
+    is_last = len(draft.holders[held.model]) <= 1
+    return (is_last, draft.per_copy(held.model), held.model)
+
+
+def _may_evict(draft: _Draft, held: Held, model: str) -> bool:
+    """Tell whether a copy may make room for a model.
 
     A model that is nowhere and waited for may take the place of any copy
     that has had its time, so that each model is reached in bounded time.
     """
-    demand = situation.demand((held.model, ""))
+    situation = draft.situation
     spec = situation.configuration.models.get(held.model)
     if spec is None:
         return True
-    copies = len(_holders(situation, (held.model, "")))
-    if copies <= spec.min_ready:
+    residence_ms = situation.now_ms - held.since_ms
+    copies = len(draft.holders[held.model])
+    if copies <= spec.min_ready or residence_ms < MIN_RESIDENCE_MS:
         return False
-    if copies > copies_wanted(situation, held.model):
-        return True
-    if demand.idle_ms >= EVICT_IDLE_MS and not demand.waiting:
+    if copies > 1:
+        after = draft.per_copy(held.model, fewer=1)
+        is_missing = not draft.holders[model]
+        return is_missing or after * EVICT_FACTOR < draft.per_copy(model)
+    demand = situation.demand((held.model, ""))
+    if draft.holders[model]:
+        return False
+    if not demand.waiting and demand.idle_ms >= EVICT_IDLE_MS:
         return True
-    wanted = situation.demand((incoming, ""))
-    if _holders(situation, (incoming, "")) or not wanted.waiting:
-        return wanted.tokens_per_s > 4 * demand.tokens_per_s
-    residence_ms = situation.now_ms - held.since_ms
-    return not demand.waiting or residence_ms >= FULL_TURN_MS
-
+    return residence_ms >= FULL_TURN_MS
 
-def _value(situation: Situation, model: str) -> tuple[float, int, str]:
-    demand = situation.demand((model, ""))
-    copies = len(_holders(situation, (model, "")))
-    return (demand.tokens_per_s / max(1, copies), -demand.idle_ms, model)
 
-
-def _missing_adapters(situation: Situation) -> typing.Iterator[Move]:
-    """Load adapters that callers wait for beside their models."""
-    for name, adapter in sorted(situation.configuration.adapters.items()):
-        demand = situation.demand((adapter.model, name))
-        here = (adapter.model, name)
-        if not demand.waiting or _holders(situation, here):
+def _load_adapters(draft: _Draft) -> None:
+    """Load adapters in use beside every ready copy of their models."""
+    for adapter, spec in sorted(
+        draft.situation.configuration.adapters.items()
+    ):
+        demand = draft.situation.demand((spec.model, adapter))
+        if not demand.waiting and demand.idle_ms >= ADAPTER_KEEP_MS:
             continue
-        hosts = [
-            engine
-            for engine in _holders(situation, (adapter.model, ""))
-            if engine.by_name[(adapter.model, "")].is_ready
-        ]
-        for engine in sorted(hosts, key=lambda e: (-e.free_mb, e.id)):
-            if engine.free_mb >= adapter.memory_mb:
-                yield Move(
-                    MoveKind.LOAD,
-                    engine.id,
-                    adapter.model,
-                    name,
-                    adapter.version,
-                    adapter.memory_mb,
-                    f"{demand.waiting} waiting",
-                )
-                break
-            idle = _idle_adapter(situation, engine)
-            if idle is not None:
-                yield idle
-                break
+        for engine in draft.holders[spec.model]:
+            host = engine.by_name.get((spec.model, ""))
+            if host is None or not host.is_ready:
+                continue
+            if (spec.model, adapter) in engine.by_name:
+                continue
+            if draft.free_mb[engine.id] >= spec.memory_mb:
+                draft.load_adapter(engine, adapter, "in use")
+            else:
+                _unload_idle_adapter(draft, engine)
 
 
-def _idle_adapter(situation: Situation, engine: Engine) -> Move | None:
+def _unload_idle_adapter(draft: _Draft, engine: Engine) -> None:
+    if engine.id in draft.unloading:
+        return
     idle = [
         held
-        for (model, adapter), held in engine.by_name.items()
-        if adapter
+        for held in engine.by_name.values()
+        if held.adapter
         and held.is_ready
-        and not held.is_leaving
-        and not situation.demand((model, adapter)).waiting
+        and not draft.situation.demand((held.model, held.adapter)).waiting
     ]
     if not idle:
-        return None
-    held = max(
-        idle,
-        key=lambda h: (
-            situation.demand((h.model, h.adapter)).idle_ms,
-            h.adapter,
-        ),
-    )
-    return Move(
-        MoveKind.UNLOAD,
-        engine.id,
-        held.model,
-        held.adapter,
-        held.version,
-        held.memory_mb,
-        "makes room for another adapter",
-    )
+        return
 
+    def idle_ms(held: Held) -> tuple[int, str]:
+        name = (held.model, held.adapter)
+        return (draft.situation.demand(name).idle_ms, held.adapter)
 
-def _stale_versions(situation: Situation) -> typing.Iterator[Move]:
-    """Unload what the configuration no longer lists, one copy at a time."""
-    configuration = situation.configuration
-    for engine in situation.engines:
-        if not engine.is_usable:
-            continue
-        for (model, adapter), held in engine.by_name.items():
-            if held.is_leaving or not held.is_ready:
-                continue
-            wanted = _wanted_version(configuration, model, adapter)
-            if wanted == held.version:
-                continue
-            if wanted is not None and _is_last_ready(
-                situation, engine, model, adapter
-            ):
-                continue
-            yield Move(
-                MoveKind.UNLOAD,
-                engine.id,
-                model,
-                adapter,
-                held.version,
-                held.memory_mb,
-                f"version {held.version} is replaced by {wanted}",
-            )
-
-
-def _wanted_version(
-    configuration: schema.Configuration,
-    model: str,
-    adapter: str,
-) -> str | None:
-    if adapter:
-        spec = configuration.adapters.get(adapter)
-        return spec.version if spec and spec.model == model else None
-    listed = configuration.models.get(model)
-    return listed.version if listed else None
+    held = max(idle, key=idle_ms)
+    draft.unload(engine, held, "makes room for another adapter")
 
 
-def _is_last_ready(
-    situation: Situation,
-    engine: Engine,
-    model: str,
-    adapter: str,
-) -> bool:
-    """Tell whether no other engine could answer for a resident."""
-    others = [
-        other
-        for other in _holders(situation, (model, adapter))
-        if other.id != engine.id and other.by_name[(model, adapter)].is_ready
-    ]
-    room_elsewhere = any(
-        other.is_usable and other.id != engine.id
-        for other in situation.engines
+def _spread_models(draft: _Draft) -> None:
+    """Give models with much demand for each copy another copy."""
+    capacity = draft.situation.capacity_tokens_per_s
+    hot = sorted(
+        (model for model in draft.holders if draft.holders[model]),
+        key=lambda model: (-draft.per_copy(model), model),
     )
-    return not others and room_elsewhere and not adapter
+    for model in hot:
+        if draft.per_copy(model) < SPREAD_FLOOR * capacity:
+            return
+        busiest = max(draft.load[e.id] for e in draft.holders[model])
+        engines = [
+            engine
+            for engine in draft.least_loaded(_without(draft, model))
+            if draft.load[engine.id] + SPREAD_MARGIN * capacity < busiest
+        ]
+        if engines:
+            _spread_to(draft, model, engines)
 
 
-def _load_model(
-    situation: Situation,
-    engine: Engine,
-    model: str,
-    reason: str,
-) -> Move:
-    spec = situation.configuration.models[model]
-    return Move(
-        MoveKind.LOAD,
-        engine.id,
-        model,
-        "",
-        spec.version,
-        spec.memory_mb + spec.kv_mb,
-        reason,
-    )
+def _spread_to(draft: _Draft, model: str, engines: list[Engine]) -> None:
+    needed_mb = draft.situation.model_memory_mb(model) + ADAPTER_RESERVE_MB
+    reason = f"{draft.per_copy(model):.0f} tokens/s for each copy"
+    for engine in engines:
+        if draft.free_mb[engine.id] >= needed_mb:
+            draft.load_model(engine, model, reason)
+            return
+    for engine in engines:
+        if engine.id in draft.unloading:
+            continue
+        victims = _victims(draft, engine, needed_mb, model)
+        if victims:
+            for held in victims:
+                draft.unload(engine, held, f"makes room for {model}: {reason}")
+            return
+
+
+def _fill_free_memory(draft: _Draft) -> None:
+    """Load models that are nowhere into free memory."""
+    for model in sorted(draft.situation.configuration.models):
+        if not draft.holders[model]:
+            _place(draft, model, "is nowhere", ADAPTER_RESERVE_MB)
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: the decisions under load, the rates, the proxy's own cost."""
