--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 DEPLOYMENT ?= bogota
 SEED ?= 1
 SECONDS ?= 120
+SEEDS ?= 1
 
 .PHONY: check test demo up soak bench format clean
 
@@ -39,7 +40,7 @@
 	$(BIN)/python -m tools.soak --seed $(SEED) --seconds $(SECONDS)
 
 bench: $(VENV)/.ready
-	$(BIN)/python -m tools.bench --seed $(SEED)
+	$(BIN)/python -m tools.bench --seed $(SEED) --seeds $(SEEDS)
 
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/tools/bench/proxy.py
@@ -0,0 +1,199 @@
+"""What one instance costs: added latency, throughput per core, memory."""
+
+import asyncio
+import pathlib
+import statistics
+import time
+import typing
+
+import aiohttp
+import numpy
+import psutil
+
+from tools import deployment as deployments
+
+FOLDER = pathlib.Path("build/bench/proxy")
+LATENCY_PAIRS = 1_500
+LOAD_S = 5.0
+REQUEST_CALLERS = 32
+STREAMS = 300
+STREAM_TOKENS = 400
+OPEN_STREAMS = 1_000
+RATE = 1_000_000_000
+
+
+def run() -> dict[str, float]:
+    """Return the proxy's measures."""
+    return asyncio.run(_run())
+
+
+def _overlay(teams: typing.Iterable[str], models: typing.Iterable[str]) -> str:
+    lines = ["teams:"]
+    for team in teams:
+        lines += [
+            f"  {team}:",
+            f"    rate_tokens_per_s: {RATE}",
+            f"    burst_tokens: {RATE}",
+        ]
+    lines += ["models:"]
+    for model in list(models)[:1]:
+        lines += [f"  {model}:", "    min_ready: 6"]
+    lines += ["targets:"]
+    lines += [
+        line
+        for number in range(1, 7)
+        for line in (f"  engine-{number}:", "    slots: 400")
+    ]
+    return "\n".join(lines) + "\n"
+
+
+async def _run() -> dict[str, float]:
+    base = deployments.Deployment("san-isidro", FOLDER)
+    models = sorted(base.configuration.models)
+    overlay = _overlay(base.configuration.teams, models)
+    deployment = deployments.Deployment("san-isidro", FOLDER, overlay)
+    try:
+        await deployment.start(1)
+        bench = _Bench(deployment, models[0])
+        await bench.warm_up()
+        return {
+            **await bench.latency(),
+            **await bench.requests_per_core(),
+            **await bench.chunks_per_core(),
+            **await bench.memory(),
+        }
+    finally:
+        await deployment.stop()
+
+
+class _Bench:
+    """One instance under the bench's own callers."""
+
+    def __init__(self, deployment: deployments.Deployment, model: str) -> None:
+        self._deployment = deployment
+        self._instance = next(iter(deployment.instances.values()))
+        self._process = psutil.Process(self._instance.handle.pid)
+        self._model = model
+        key = next(iter(deployment.key_by_team.values()))
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._service = deployment.standins["app-1"].url
+
+    async def warm_up(self) -> None:
+        """Wait until every engine has the model."""
+        async with asyncio.timeout(60):
+            while True:
+                status = await self._deployment.operator_get(
+                    self._instance, "/v1/status"
+                )
+                ready = [
+                    target
+                    for target in status["targets"]
+                    if self._model in target["models"]
+                ]
+                if len(ready) == 6:
+                    break
+                await asyncio.sleep(0.2)
+        await asyncio.sleep(6.0)
+
+    async def latency(self) -> dict[str, float]:
+        """Return the latency that the instance adds to a plain call."""
+        direct, through = [], []
+        async with aiohttp.ClientSession() as session:
+            for number in range(LATENCY_PAIRS):
+                path = f"/rosters/{number}"
+                direct.append(await self._get(session, self._service + path))
+                through.append(
+                    await self._get(session, self._instance.url + path)
+                )
+        fifty = numpy.percentile(through, 50) - numpy.percentile(direct, 50)
+        tail = numpy.percentile(through, 99) - numpy.percentile(direct, 99)
+        return {
+            "added_latency_ms_p50": round(float(fifty), 3),
+            "added_latency_ms_p99": round(float(tail), 3),
+            "direct_latency_ms_p50": round(statistics.median(direct), 3),
+        }
+
+    async def _get(self, session: aiohttp.ClientSession, url: str) -> float:
+        start_s = time.perf_counter()
+        async with session.get(url, headers=self._headers) as response:
+            await response.read()
+            assert response.status == 200, await response.text()
+        return (time.perf_counter() - start_s) * 1000
+
+    def _cpu_s(self) -> float:
+        times = self._process.cpu_times()
+        return float(times.user + times.system)
+
+    async def requests_per_core(self) -> dict[str, float]:
+        """Return small requests for each second of the instance's CPU."""
+        end_s = time.perf_counter() + LOAD_S
+        before_s = self._cpu_s()
+        started_s = time.perf_counter()
+        done = 0
+
+        async def caller(session: aiohttp.ClientSession) -> None:
+            nonlocal done
+            while time.perf_counter() < end_s:
+                await self._get(session, self._instance.url + "/rosters/1")
+                done += 1
+
+        async with aiohttp.ClientSession() as session:
+            await asyncio.gather(
+                *[caller(session) for _ in range(REQUEST_CALLERS)]
+            )
+        elapsed_s = time.perf_counter() - started_s
+        return {
+            "requests_per_core_s": round(done / (self._cpu_s() - before_s)),
+            "requests_per_s": round(done / elapsed_s),
+        }
+
+    async def chunks_per_core(self) -> dict[str, float]:
+        """Return stream chunks for each second of the instance's CPU."""
+        before_s = self._cpu_s()
+        counts = await self._streams(STREAMS, STREAM_TOKENS)
+        used_s = self._cpu_s() - before_s
+        return {"chunks_per_core_s": round(sum(counts) / used_s)}
+
+    async def memory(self) -> dict[str, float]:
+        """Return the resident memory with many open streams."""
+        task = asyncio.create_task(self._streams(OPEN_STREAMS, 300))
+        highest = 0
+        while not task.done():
+            highest = max(highest, self._process.memory_info().rss)
+            await asyncio.sleep(0.1)
+        counts = await task
+        return {
+            "resident_mb": round(highest / 1e6, 1),
+            "open_streams": sum(count > 0 for count in counts),
+        }
+
+    async def _streams(self, number: int, tokens: int) -> list[int]:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            return await asyncio.gather(
+                *[self._stream(session, n, tokens) for n in range(number)]
+            )
+
+    async def _stream(
+        self,
+        session: aiohttp.ClientSession,
+        number: int,
+        tokens: int,
+    ) -> int:
+        body = {
+            "model": self._model,
+            "messages": [{"role": "user", "content": f"s {number}"}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        count = 0
+        async with session.post(
+            self._instance.url + "/v1/chat/completions",
+            json=body,
+            headers=self._headers,
+        ) as response:
+            if response.status != 200:
+                return 0
+            async for data in response.content.iter_any():
+                count += data.count(b"\n\n")
+        return count
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -63,8 +63,14 @@
 class Deployment:
     """Stand-ins and instances of one example folder."""
 
-    def __init__(self, example: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        example: str,
+        folder: pathlib.Path,
+        overlay: str = "",
+    ) -> None:
         self.example = example
+        self._overlay = overlay
         self.folder = folder
         self.standins: dict[str, Proc] = {}
         self.instances: dict[str, InstanceProc] = {}
@@ -322,6 +328,8 @@
         lines = ["targets:"]
         for name in self.configuration.targets:
             lines += [f"  {name}:", f"    url: {self.standins[name].url}"]
+        if self._overlay:
+            (self.config_folder / "90-overlay.yaml").write_text(self._overlay)
         overlay = self.config_folder / "99-addresses.yaml"
         overlay.write_text("\n".join(lines) + "\n")
 
