Refuse any text that would carry a key; measure slopes; compute freshness lazily

Cause: a key in the path of an open route, or another team's key in a body, reached the target, since only the presented key was looked for. And the first slopes showed a heartbeat's receipt growing with the square of the peers: each of the seats in it sorted all seats again.

Change: path, query, headers and body are searched for any kept key. Freshness is worked out when it is asked for. A target's ready models are indexed with each report instead of at each choice.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SECONDS ?= 120
 SEEDS ?= 1
 
-.PHONY: check test demo up soak bench format clean
+.PHONY: check test demo up soak bench slopes format clean
 
 $(VENV)/.ready: requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -42,5 +42,8 @@
 bench: $(VENV)/.ready
 	$(BIN)/python -m tools.bench --seed $(SEED) --seeds $(SEEDS)
 
+slopes: $(VENV)/.ready
+	$(BIN)/python -m tools.slopes
+
 clean:
 	rm -rf $(VENV) build
--- a/packages/cardamom-daemon/src/cardamom_daemon/caller_port.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/caller_port.py
@@ -130,7 +130,7 @@
         if self.count_connections() > self._fleet.settings.max_connections:
             raise outcomes.Refused(_too_many_connections())
         key = callers.presented_key(request)
-        callers.refuse_key_in_path(request, key)
+        callers.refuse_key(self._fleet, request.path, "path")
         if request.path in MODEL_PATHS and request.method == "POST":
             return await self._model_call(request, request_id, key)
         if request.path == "/v1/models" and request.method == "GET":
@@ -160,7 +160,7 @@
         caller = callers.authenticate(self._fleet, key)
         callers.require_fresh(self._fleet)
         body = await self._read_body(request)
-        callers.refuse_key_in_body(caller, body)
+        callers.refuse_key_in_body(self._fleet, body)
         callers.recheck(self._fleet, caller)
         entry = self._running.add(request_id, caller.key_id)
         try:
@@ -214,15 +214,15 @@
             caller = callers.authenticate(self._fleet, key)
         callers.require_fresh(self._fleet)
         body = await self._read_body(request)
-        callers.refuse_key_in_body(caller, body)
+        callers.refuse_key_in_body(self._fleet, body)
         call = plain_calls.PlainCall(
             id=request_id,
             route_name=name,
             route=route,
             method=request.method,
             path=request.rel_url.raw_path,
-            query=tuple(callers.passed_query(request, key)),
-            headers=callers.passed_headers(request, key),
+            query=tuple(callers.passed_query(self._fleet, request)),
+            headers=callers.passed_headers(self._fleet, request),
             body=body,
             deadline_ms=self._fleet.clock.now_ms() + route.timeout_ms,
         )
--- a/packages/cardamom-daemon/src/cardamom_daemon/callers.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/callers.py
@@ -90,57 +90,55 @@
         raise outcomes.Refused(running.withdrawn_refusal(not_run=True))
 
 
-def refuse_key_in_body(caller: Caller | None, body: bytes) -> None:
-    """Refuse a body that holds the caller's key; raises outcomes.Refused."""
-    if caller is not None and caller.key.encode() in body:
+def refuse_key(fleet: fleets.Fleet, text: str, where: str) -> None:
+    """Refuse a text that would carry a key to a target.
+
+    Any key that is kept counts, also another team's.  Raises
+    outcomes.Refused.
+    """
+    if fleet.keyring.holds_key(text):
         raise outcomes.Refused(
             outcomes.Refusal(
                 outcomes.Code.BAD_REQUEST,
-                "the body holds the key; send the key only as a header",
+                f"{where}: holds a key; send it only as a header",
                 outcomes.Step.RECEIVE,
                 not_run=True,
             )
         )
 
 
+def refuse_key_in_body(fleet: fleets.Fleet, body: bytes) -> None:
+    """Refuse a body that holds a key; raises outcomes.Refused."""
+    if keyring.KEY_PREFIX.encode() in body:
+        refuse_key(fleet, body.decode("latin-1"), "body")
+
+
 def passed_headers(
+    fleet: fleets.Fleet,
     request: web.Request,
-    key: str | None,
 ) -> dict[str, str]:
     """Return the headers that travel on to a target."""
     return {
         name: value
         for name in PASSED_HEADERS
         if (value := request.headers.get(name)) is not None
-        and not (key and key in value)
+        and not fleet.keyring.holds_key(value)
     }
 
 
 def passed_query(
+    fleet: fleets.Fleet,
     request: web.Request,
-    key: str | None,
 ) -> list[tuple[str, str]]:
     """Return the query fields that travel on to a target."""
     return [
         (name, value)
         for name, value in request.query.items()
-        if name not in KEY_QUERY_FIELDS and not (key and key in name + value)
+        if name not in KEY_QUERY_FIELDS
+        and not fleet.keyring.holds_key(f"{name}={value}")
     ]
 
 
-def refuse_key_in_path(request: web.Request, key: str | None) -> None:
-    """Refuse a path that holds the caller's key; raises outcomes.Refused."""
-    if key and key in request.path:
-        raise outcomes.Refused(
-            outcomes.Refusal(
-                outcomes.Code.BAD_REQUEST,
-                "the path holds the key; send the key only as a header",
-                outcomes.Step.RECEIVE,
-                not_run=True,
-            )
-        )
-
-
 def looks_like_key(text: str) -> bool:
     """Tell whether a text might be a key."""
     return keyring.KEY_PREFIX in text
--- a/packages/cardamom-daemon/src/cardamom_daemon/keyring.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/keyring.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import re
 import secrets
 import typing
 
@@ -10,6 +11,7 @@
 KEY_PREFIX = "ck-"
 KEY_BYTES = 24
 KEY_ID_LENGTH = 16
+KEY_PATTERN = re.compile(KEY_PREFIX + r"[A-Za-z0-9_-]{32}")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +52,10 @@
         """Return the record of a presented key, if there is one."""
         return self._by_hash.get(hash_key(key))
 
+    def holds_key(self, text: str) -> bool:
+        """Tell whether a text holds any key that is kept here."""
+        return any(self.find(m.group()) for m in KEY_PATTERN.finditer(text))
+
     def records(self) -> list[KeyRecord]:
         """Return all records, by team and id."""
         return sorted(self._by_hash.values(), key=lambda r: (r.team, r.id))
--- a/packages/cardamom-daemon/src/cardamom_daemon/targets.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/targets.py
@@ -58,6 +58,7 @@
         self.control = control
         self.state: interfaces.EngineState | None = None
         self.state_ms: int = clocks.NEVER_MS
+        self._ready: frozenset[tuple[str, str]] = frozenset()
         self.up_since_ms: int = clocks.NEVER_MS
         self.failures = 0
         self.latency = routing.Latency()
@@ -78,15 +79,19 @@
 
     def has(self, name: catalog.ModelName) -> bool:
         """Tell whether a model, with its adapter, was reported as ready."""
-        if self.state is None:
+        if (name.model, "") not in self._ready:
             return False
-        ready = {
-            (r.model, r.adapter)
-            for r in self.state.residents
-            if r.state is interfaces.LoadState.READY
-        }
-        wanted = {(name.model, ""), (name.model, name.adapter)}
-        return wanted <= ready
+        return not name.adapter or (name.model, name.adapter) in self._ready
+
+    def report(self, state: interfaces.EngineState, now_ms: int) -> None:
+        """Hold the engine's newest report of itself."""
+        self.state = state
+        self.state_ms = now_ms
+        self._ready = frozenset(
+            (resident.model, resident.adapter)
+            for resident in state.residents
+            if resident.state is interfaces.LoadState.READY
+        )
 
     async def close(self) -> None:
         """Close the target's connections."""
@@ -320,8 +325,7 @@
             target.event_sequence = 0
             target.up_since_ms = self._fleet.clock.now_ms()
         target.failures = 0
-        target.state = state
-        target.state_ms = self._fleet.clock.now_ms()
+        target.report(state, self._fleet.clock.now_ms())
         target.reported_others = max(
             0,
             state.running - len(target.in_flight),
--- a/packages/cardamom-kernel/src/cardamom_kernel/freshness.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/freshness.py
@@ -38,6 +38,7 @@
         self._gone: frozenset[ids.SeatId] = frozenset()
         self._table_sent_ms: int = clocks.NEVER_MS
         self._until_ms: int = clocks.NEVER_MS
+        self._is_changed = False
 
     def hold_roster(
         self,
@@ -53,12 +54,12 @@
             for seat, sent_ms in self._sent_ms_by_seat.items()
             if seat in voters
         }
-        self._recompute()
+        self._is_changed = True
 
     def set_gone(self, seats: typing.Iterable[ids.SeatId]) -> None:
         """Set the seats whose holders the instance list has dropped."""
         self._gone = frozenset(seats)
-        self._recompute()
+        self._is_changed = True
 
     def confirm_seat(self, seat: ids.SeatId, sent_ms: int) -> None:
         """Count an answer of a seat to a question sent at ``sent_ms``.
@@ -67,13 +68,13 @@
         """
         if sent_ms > self._sent_ms_by_seat.get(seat, clocks.NEVER_MS):
             self._sent_ms_by_seat[seat] = sent_ms
-            self._recompute()
+            self._is_changed = True
 
     def confirm_table(self, sent_ms: int) -> None:
         """Count a linearizable read of the table begun at ``sent_ms``."""
         if sent_ms > self._table_sent_ms:
             self._table_sent_ms = sent_ms
-            self._recompute()
+            self._is_changed = True
 
     def ages_ms(self) -> typing.Iterator[tuple[ids.SeatId, int]]:
         """Yield each confirmed seat with the age of its confirmation."""
@@ -88,11 +89,14 @@
 
     def fresh_until_ms(self) -> int:
         """Return the end of the current right to act, on the own clock."""
+        if self._is_changed:
+            self._recompute()
+            self._is_changed = False
         return self._until_ms
 
     def is_fresh(self) -> bool:
         """Tell whether this instance may act at this moment."""
-        return self._clock.now_ms() < self._until_ms
+        return self._clock.now_ms() < self.fresh_until_ms()
 
     def _recompute(self) -> None:
         if self._roster is None:
