--- a/packages/cardamom-daemon/src/cardamom_daemon/changes.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/changes.py
@@ -160,6 +160,7 @@
 
         ``change`` returns None if the document holds the change already.
         """
+        may_be_written = False
         for _ in range(WRITE_TRIES):
             if not await self._sync.poll():
                 break
@@ -172,17 +173,9 @@
             state = await self._sync.write_document(name, changed, version)
             if state is tables.CommitState.COMMITTED:
                 return Written(version + 1, changed)
-        raise outcomes.Refused(
-            outcomes.Refusal(
-                outcomes.Code.UNAVAILABLE,
-                "the table gave no answer; the change may or may not have "
-                "been accepted: repeat it with the same id, or read the "
-                "status",
-                outcomes.Step.OPERATE,
-                not_run=False,
-                retry_after_ms=CHECK_MS * 10,
-            )
-        )
+            if state is tables.CommitState.UNKNOWN:
+                may_be_written = True
+        raise outcomes.Refused(_table_lost(may_be_written))
 
     async def _until_in_force(self, name: str, version: int) -> Json:
         """Wait until every live instance holds a version."""
@@ -265,6 +258,22 @@
     return outcomes.Refusal(code, message, outcomes.Step.OPERATE, not_run=True)
 
 
+def _table_lost(may_be_written: bool) -> outcomes.Refusal:
+    message = "the table cannot be reached; nothing was changed"
+    if may_be_written:
+        message = (
+            "the table gave no answer; the change may have been accepted: "
+            "read the status before you repeat it"
+        )
+    return outcomes.Refusal(
+        outcomes.Code.UNAVAILABLE,
+        message,
+        outcomes.Step.OPERATE,
+        not_run=not may_be_written,
+        retry_after_ms=CHECK_MS * 10,
+    )
+
+
 def _lost_race(
     based_on: int,
     version: int,
