--- a/packages/cardamom-policy/src/cardamom_policy/placement.py
+++ b/packages/cardamom-policy/src/cardamom_policy/placement.py
@@ -132,6 +132,11 @@
         self.situation = situation
         self.moves: list[Move] = []
         self.engines = [e for e in situation.engines if e.is_usable]
+        adapters = situation.configuration.adapters.values()
+        self.reserve_mb = min(
+            ADAPTER_RESERVE_MB,
+            sum(adapter.memory_mb for adapter in adapters),
+        )
         self.free_mb = {e.id: e.free_mb for e in self.engines}
         self.unloading = {
             engine.id
@@ -459,7 +464,7 @@
 
 
 def _spread_to(draft: _Draft, model: str, engines: list[Engine]) -> None:
-    needed_mb = draft.situation.model_memory_mb(model) + ADAPTER_RESERVE_MB
+    needed_mb = draft.situation.model_memory_mb(model) + draft.reserve_mb
     reason = f"{draft.per_copy(model):.0f} tokens/s for each copy"
     for engine in engines:
         if draft.free_mb[engine.id] >= needed_mb:
@@ -479,4 +484,4 @@
     """Load models that are nowhere into free memory."""
     for model in sorted(draft.situation.configuration.models):
         if not draft.holders[model]:
-            _place(draft, model, "is nowhere", ADAPTER_RESERVE_MB)
+            _place(draft, model, "is nowhere", draft.reserve_mb)
