--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,6 +5,9 @@
 import enum
 import typing
 
+from hypothesis import stateful
+from hypothesis import strategies as st
+
 from cardamom_kernel import clocks
 from cardamom_kernel import tables
 
@@ -157,3 +160,32 @@
             task.cancel()
         self.settle()
         self.loop.close()
+
+
+class TableMachine(stateful.RuleBasedStateMachine):
+    """Base of the state machines over a table that fares badly."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = LoopRunner()
+        self.table = ExploredTable()
+
+    @stateful.precondition(lambda self: self.table.waiting)
+    @stateful.rule(
+        pick=st.integers(0, 1 << 20),
+        fate=st.sampled_from([*Fate, Fate.ANSWERED]),
+    )
+    def decide(self, pick: int, fate: Fate) -> None:
+        """Decide the fate of a commit."""
+        self.table.decide(pick % len(self.table.waiting), fate)
+        self.runner.settle()
+
+    @stateful.precondition(lambda self: self.table.late)
+    @stateful.rule(pick=st.integers(0, 1 << 20))
+    def land(self, pick: int) -> None:
+        """Let a late commit take effect."""
+        self.table.land(pick % len(self.table.late))
+
+    def teardown(self) -> None:
+        """Close the loop."""
+        self.runner.close()
--- a/tests/kernel/test_claims.py
+++ b/tests/kernel/test_claims.py
@@ -25,15 +25,13 @@
     said_answered: bool = False
 
 
-class ClaimsMachine(stateful.RuleBasedStateMachine):
+class ClaimsMachine(fakes.TableMachine):
     """Repeats of one call, over a table that loses answers."""
 
     claims_type = claims.Claims
 
     def __init__(self) -> None:
         super().__init__()
-        self.runner = fakes.LoopRunner()
-        self.table = fakes.ExploredTable()
         self.calls: list[Call] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -72,22 +70,6 @@
         call.runs += 1
         await book.finish(call.attempt, claims.ClaimState.DONE, {"ok": 1})
 
-    @stateful.precondition(lambda self: self.table.waiting)
-    @stateful.rule(
-        pick=st.integers(0, 1 << 20),
-        fate=st.sampled_from([*fakes.Fate, fakes.Fate.ANSWERED]),
-    )
-    def decide(self, pick: int, fate: fakes.Fate) -> None:
-        """Decide the fate of a commit."""
-        self.table.decide(pick % len(self.table.waiting), fate)
-        self.runner.settle()
-
-    @stateful.precondition(lambda self: self.table.late)
-    @stateful.rule(pick=st.integers(0, 1 << 20))
-    def land(self, pick: int) -> None:
-        """Let a late commit take effect."""
-        self.table.land(pick % len(self.table.late))
-
     @stateful.precondition(lambda self: self.tasks)
     @stateful.rule(pick=st.integers(0, 1 << 20))
     def crash(self, pick: int) -> None:
@@ -111,10 +93,6 @@
         if any(call.said_answered for call in self.calls):
             assert any(call.runs for call in self.calls)
 
-    def teardown(self) -> None:
-        """Close the loop."""
-        self.runner.close()
-
 
 class RunOnUnknown(claims.Claims):
     """A mutant that takes a lost answer for a yes."""
--- a/tests/kernel/test_leases.py
+++ b/tests/kernel/test_leases.py
@@ -13,15 +13,13 @@
 HOLDERS = 3
 
 
-class LeaseMachine(stateful.RuleBasedStateMachine):
+class LeaseMachine(fakes.TableMachine):
     """Contenders with clocks that cannot be compared, and pauses."""
 
     lease_type = leases.Lease
 
     def __init__(self) -> None:
         super().__init__()
-        self.runner = fakes.LoopRunner()
-        self.table = fakes.ExploredTable()
         self.clocks = [clocks.SteppedClock(n * 77_777) for n in range(HOLDERS)]
         self.leases = [
             self.lease_type(
@@ -61,22 +59,6 @@
         for clock in self.clocks:
             clock.step(ms)
 
-    @stateful.precondition(lambda self: self.table.waiting)
-    @stateful.rule(
-        pick=st.integers(0, 1 << 20),
-        fate=st.sampled_from([*fakes.Fate, fakes.Fate.ANSWERED]),
-    )
-    def decide(self, pick: int, fate: fakes.Fate) -> None:
-        """Decide the fate of a commit."""
-        self.table.decide(pick % len(self.table.waiting), fate)
-        self.runner.settle()
-
-    @stateful.precondition(lambda self: self.table.late)
-    @stateful.rule(pick=st.integers(0, 1 << 20))
-    def land(self, pick: int) -> None:
-        """Let a late commit take effect."""
-        self.table.land(pick % len(self.table.late))
-
     @stateful.invariant()
     def one_holder(self) -> None:
         """Assert that two instances never hold the lease at once."""
@@ -86,10 +68,6 @@
             assert fence.number >= self.highest
             self.highest = fence.number
 
-    def teardown(self) -> None:
-        """Close the loop."""
-        self.runner.close()
-
 
 class TrustFromTheAnswer(leases.Lease):
     """A mutant that counts the lease from the answer on."""
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -58,15 +58,13 @@
     refusal: outcomes.Refusal | None = None
 
 
-class ChangesMachine(stateful.RuleBasedStateMachine):
+class ChangesMachine(fakes.TableMachine):
     """Operators that race over a table that loses answers."""
 
     changes_type = changes.Changes
 
     def __init__(self) -> None:
         super().__init__()
-        self.runner = fakes.LoopRunner()
-        self.table = fakes.ExploredTable()
         self.clock = clocks.SteppedClock()
         self.count = 0
         self.applies: list[Apply] = []
@@ -139,16 +137,6 @@
         self.syncs[who] = table_sync.TableSync(fleet)
         self.highest[who] = 0
 
-    @stateful.precondition(lambda self: self.table.waiting)
-    @stateful.rule(
-        pick=st.integers(0, 1 << 20),
-        fate=st.sampled_from([*fakes.Fate, fakes.Fate.ANSWERED]),
-    )
-    def decide(self, pick: int, fate: fakes.Fate) -> None:
-        """Decide the fate of a commit."""
-        self.table.decide(pick % len(self.table.waiting), fate)
-        self.runner.settle()
-
     @stateful.rule()
     def answer_all(self) -> None:
         """Let the table answer everything that waits."""
@@ -158,12 +146,6 @@
             self.table.decide(0, fakes.Fate.ANSWERED)
             self.runner.settle()
 
-    @stateful.precondition(lambda self: self.table.late)
-    @stateful.rule(pick=st.integers(0, 1 << 20))
-    def land(self, pick: int) -> None:
-        """Let a late commit take effect."""
-        self.table.land(pick % len(self.table.late))
-
     @stateful.invariant()
     def accepted_stays(self) -> None:
         """Assert one content for each version, and that none goes back."""
@@ -193,10 +175,6 @@
         if row is not None:
             assert row.body["configuration"] not in refused
 
-    def teardown(self) -> None:
-        """Close the loop."""
-        self.runner.close()
-
 
 class NoReadBack(changes.Changes):
     """A mutant that takes a lost answer for a refusal."""
--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -42,6 +42,10 @@
         self.clock = clock
         self.moves = 0
         self.dropped: list[workload.Request] = []
+        self.set_up()
+
+    def set_up(self) -> None:
+        """Prepare what the policy keeps."""
 
     def drop(self, request: workload.Request) -> None:
         """Refuse a request that has waited too long."""
@@ -100,27 +104,21 @@
 
     name = "policy"
 
-    def __init__(
-        self,
-        configuration: schema.Configuration,
-        engines: list[engine_module.Engine],
-        store: engine_module.WeightStore,
-        clock: clocks.SteppedClock,
-    ) -> None:
-        super().__init__(configuration, engines, store, clock)
+    def set_up(self) -> None:
+        """Prepare what this policy keeps."""
+        super().set_up()
         self._queue: fairness.FairQueue[workload.Request] = (
             fairness.FairQueue()
         )
         self._queue.set_weights(
             {
                 ids.TeamId(name): team.weight
-                for name, team in configuration.teams.items()
+                for name, team in self.configuration.teams.items()
             }
         )
-        self._meter = demand.DemandMeter(clock)
+        self._meter = demand.DemandMeter(self.clock)
         self._credit = 0.0
         self._placed_ms = 0
-        self._latency = {engine.id: routing.Latency() for engine in engines}
 
     def arrive(self, request: workload.Request) -> None:
         """Queue a request."""
@@ -266,17 +264,12 @@
 class _Fifo(Policy):
     """Base of the baselines: one queue for each engine, in order."""
 
-    def __init__(
-        self,
-        configuration: schema.Configuration,
-        engines: list[engine_module.Engine],
-        store: engine_module.WeightStore,
-        clock: clocks.SteppedClock,
-    ) -> None:
-        super().__init__(configuration, engines, store, clock)
+    def set_up(self) -> None:
+        """Prepare what this policy keeps."""
+        super().set_up()
         self._queue_by_engine: dict[
             str, collections.deque[workload.Request]
-        ] = {engine.id: collections.deque() for engine in engines}
+        ] = {engine.id: collections.deque() for engine in self.engines}
 
     @abc.abstractmethod
     def choose(self, request: workload.Request) -> engine_module.Engine | None:
@@ -346,14 +339,9 @@
 
     name = "static_round_robin"
 
-    def __init__(
-        self,
-        configuration: schema.Configuration,
-        engines: list[engine_module.Engine],
-        store: engine_module.WeightStore,
-        clock: clocks.SteppedClock,
-    ) -> None:
-        super().__init__(configuration, engines, store, clock)
+    def set_up(self) -> None:
+        """Prepare what this policy keeps."""
+        super().set_up()
         self._turn = itertools.count()
         self._copies: dict[str, list[engine_module.Engine]] = (
             collections.defaultdict(list)
@@ -397,14 +385,9 @@
 
     name = "least_loaded_lru"
 
-    def __init__(
-        self,
-        configuration: schema.Configuration,
-        engines: list[engine_module.Engine],
-        store: engine_module.WeightStore,
-        clock: clocks.SteppedClock,
-    ) -> None:
-        super().__init__(configuration, engines, store, clock)
+    def set_up(self) -> None:
+        """Prepare what this policy keeps."""
+        super().set_up()
         self._used_ms: dict[tuple[str, str], int] = {}
 
     def _load_of(self, engine: engine_module.Engine) -> int:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,8 +13,8 @@
 import typer
 
 from cardamom_config import schema
+from tools import callers
 from tools import checker as checkers
-from tools import demo
 from tools import deployment as deployments
 from tools import faults as fault_module
 from tools import relay as relays
@@ -237,14 +237,14 @@
                 self._checker.violation("innocents are not refused", answer)
             return
         if body["stream"]:
-            text, error, is_ended = await demo.read_stream(response)
+            text, error, is_ended = await callers.read_stream(response)
             outcome = "answered" if is_ended else error or "cut"
             self._checker.outcomes[f"stream: {outcome}"] += 1
         else:
             answer = await response.json()
-            text, is_ended = demo.text_of(answer), True
+            text, is_ended = callers.text_of(answer), True
             self._note("model", 200, answer)
-        expected = demo.expected(body)
+        expected = callers.expected(body)
         if is_ended and text != expected:
             self._checker.violation("whole answers", f"{text!r}")
         if not expected.startswith(text):
@@ -527,8 +527,9 @@
 
     async def _unreachable(self) -> list[str]:
         """Return the models that do not answer after the faults."""
-        callers = demo.Callers(self._deployment, demo.Tally(), self._seed)
-        return await callers.reach_all()
+        tally = callers.Tally()
+        everyone = callers.Callers(self._deployment, tally, self._seed)
+        return await everyone.reach_all()
 
     def _print(self) -> None:
         print(f"seed {self._seed}, {self._seconds:.0f} s")
