--- a/packages/cardamom-daemon/src/cardamom_daemon/caller_port.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/caller_port.py
@@ -12,6 +12,7 @@
 from cardamom_daemon import callers
 from cardamom_daemon import fleet as fleets
 from cardamom_daemon import model_calls
+from cardamom_daemon import model_context
 from cardamom_daemon import plain_calls
 from cardamom_daemon import running as running_module
 from cardamom_daemon import share_broker
@@ -82,7 +83,7 @@
             response = await self._route(request, request_id)
         except outcomes.Refused as refused:
             response = self._refuse(refused.refusal, request_id)
-        except model_calls.CallerGone:
+        except model_context.CallerGone:
             response = web.Response(status=499)
             response.force_close()
         except asyncio.CancelledError:
@@ -111,7 +112,7 @@
             peer=refusal.peer,
             not_run=refusal.not_run,
         )
-        headers = {model_calls.REQUEST_ID_HEADER: str(request_id)}
+        headers = {callers.REQUEST_ID_HEADER: str(request_id)}
         if refusal.retry_after_ms is not None:
             after_s = max(1, math.ceil(refusal.retry_after_ms / 1000))
             headers["Retry-After"] = str(after_s)
@@ -196,7 +197,7 @@
         timeout_s = self._fleet.settings.write_timeout_ms / 1000
         try:
             async with asyncio.timeout(timeout_s):
-                await out.write(model_calls.error_event(refusal, request_id))
+                await out.write(model_context.error_event(refusal, request_id))
                 await out.write_eof()
         except (TimeoutError, ConnectionError):
             LOG.info("caller: gone", request=request_id)
@@ -276,22 +277,7 @@
     ) -> shares.Loan | None:
         if caller is None or tokens <= 0:
             return None
-        outcome = await self._broker.charge(caller.team, tokens)
-        if isinstance(outcome, shares.Loan):
-            return outcome
-        self._fleet.metrics.count("rate.refused")
-        raise outcomes.Refused(
-            outcomes.Refusal(
-                outcomes.Code.RATE_EXCEEDED,
-                "the team is above its rate and burst; come back later",
-                outcomes.Step.ADMIT,
-                not_run=True,
-                retry_after_ms=self._broker.retry_after_ms(
-                    caller.team,
-                    outcome.missing_tokens,
-                ),
-            )
-        )
+        return await self._broker.charge_or_refuse(caller.team, tokens)
 
     async def _read_body(self, request: web.Request) -> bytes:
         """Read a body within the limits on its size and time."""
--- a/packages/cardamom-daemon/src/cardamom_daemon/callers.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/callers.py
@@ -21,6 +21,7 @@
     "Range",
     "User-Agent",
 )
+REQUEST_ID_HEADER = "X-Request-Id"
 KEY_QUERY_FIELDS = ("api_key", "key", "access_token")
 
 
--- a/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
@@ -1,6 +1,5 @@
 """Plain calls that may be repeated: retried on another target if need be."""
 
-import asyncio
 import dataclasses
 
 import aiohttp
@@ -13,12 +12,12 @@
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_kernel import telemetry
+from cardamom_platform import pools
 from cardamom_policy import retries
 from cardamom_policy import routing
 
 MAX_ATTEMPTS = 3
 MAX_ANSWER_BYTES = 32 << 20
-REQUEST_ID_HEADER = "X-Request-Id"
 RETURNED_HEADERS = (
     "Content-Type",
     "Content-Encoding",
@@ -27,7 +26,6 @@
     "Last-Modified",
     "Location",
 )
-FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +53,7 @@
 
     def to_response(self, request: ids.RequestId) -> web.Response:
         """Return the answer for the caller."""
-        headers = {**self.headers, REQUEST_ID_HEADER: request}
+        headers = {**self.headers, callers.REQUEST_ID_HEADER: request}
         telemetry.PROPAGATOR.inject(headers)
         return web.Response(
             status=self.status,
@@ -101,14 +99,14 @@
                 raise outcomes.Refused(
                     dataclasses.replace(refused.refusal, not_run=not ran)
                 ) from refused
-            except aiohttp.ClientConnectorError as error:
+            except pools.NOT_CONNECTED as error:
                 self._book.note_failure(target)
                 step, message, peer = (
                     outcomes.Step.CONNECT,
                     repr(error),
                     target.id,
                 )
-            except FAILURES as error:
+            except pools.NETWORK_ERRORS as error:
                 ran = True
                 target.pool.replace()
                 step, message, peer = (
@@ -175,10 +173,10 @@
 ) -> PlainAnswer:
     """Send a call once and return the whole answer.
 
-    Raises aiohttp.ClientConnectorError if no byte was sent, else one of
-    FAILURES.
+    Raises one of pools.NOT_CONNECTED if no byte was sent, else one of
+    pools.NETWORK_ERRORS.
     """
-    headers = {**call.headers, REQUEST_ID_HEADER: call.id}
+    headers = {**call.headers, callers.REQUEST_ID_HEADER: call.id}
     with fleet.tracer.start_as_current_span(
         "target",
         attributes={"target": target.id, "request": call.id},
@@ -193,7 +191,7 @@
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
         ) as response:
-            answered = response.headers.get(REQUEST_ID_HEADER, call.id)
+            answered = response.headers.get(callers.REQUEST_ID_HEADER, call.id)
             if answered != call.id:
                 raise aiohttp.ClientPayloadError("answer of another request")
             body = await response.content.read(MAX_ANSWER_BYTES + 1)
--- a/packages/cardamom-daemon/src/cardamom_daemon/share_broker.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/share_broker.py
@@ -11,6 +11,7 @@
 from cardamom_daemon import messages
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
+from cardamom_kernel import outcomes
 from cardamom_kernel import shares
 
 LOG = structlog.get_logger("cardamom.shares")
@@ -58,6 +59,21 @@
             self._dry_until_ms[team] = self._fleet.clock.now_ms() + DRY_MS
             return outcome
 
+    async def charge_or_refuse(
+        self,
+        team: ids.TeamId,
+        tokens: float,
+    ) -> shares.Loan:
+        """Reserve tokens; raises outcomes.Refused if they are not there."""
+        outcome = await self.charge(team, tokens)
+        if isinstance(outcome, shares.Loan):
+            return outcome
+        self._fleet.metrics.count("rate.refused")
+        if not outcome.attainable:
+            raise outcomes.Refused(_unattainable(tokens))
+        after_ms = self.retry_after_ms(team, outcome.missing_tokens)
+        raise outcomes.Refused(_above_rate(after_ms))
+
     def retry_after_ms(self, team: ids.TeamId, missing_tokens: float) -> int:
         """Return when the fleet's rate will have made up what is missing."""
         spec = self._fleet.catalog.configuration.teams.get(team)
@@ -250,3 +266,23 @@
                 )
                 if grant is not None:
                     await self._give(peer, grant)
+
+
+def _unattainable(tokens: float) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.RATE_UNATTAINABLE,
+        f"needs {tokens:.0f} tokens, more than the team's burst; lower "
+        "max_tokens",
+        outcomes.Step.ADMIT,
+        not_run=True,
+    )
+
+
+def _above_rate(retry_after_ms: int) -> outcomes.Refusal:
+    return outcomes.Refusal(
+        outcomes.Code.RATE_EXCEEDED,
+        "the team is above its rate and burst; come back later",
+        outcomes.Step.ADMIT,
+        not_run=True,
+        retry_after_ms=retry_after_ms,
+    )
--- a/packages/cardamom-daemon/src/cardamom_daemon/single_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/single_calls.py
@@ -5,7 +5,6 @@
 import dataclasses
 import typing
 
-import aiohttp
 import orjson
 import structlog
 
@@ -158,7 +157,7 @@
                 timeout_s,
                 self._fleet,
             )
-        except aiohttp.ClientConnectorError as error:
+        except pools.NOT_CONNECTED as error:
             self._book.note_failure(target)
             await self._record(call, claims.ClaimState.RELEASED)
             raise _refused(
@@ -169,7 +168,7 @@
                 peer=target.id,
                 retry_after_ms=CLAIM_RETRY_MS,
             ) from error
-        except plain_calls.FAILURES as error:
+        except pools.NETWORK_ERRORS as error:
             await self._record(call, claims.ClaimState.UNKNOWN)
             raise _refused(
                 outcomes.Code.OUTCOME_UNKNOWN,
--- a/packages/cardamom-daemon/src/cardamom_daemon/targets.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/targets.py
@@ -217,6 +217,21 @@
         """Count a connection failure of a request."""
         target.failures += 1
 
+    async def suspect_silence(
+        self,
+        target: Target,
+        problem: BaseException,
+    ) -> None:
+        """Drop the pool after a failure that silence may have caused.
+
+        The target itself counts as failing only if a new connection fails.
+        """
+        if not isinstance(problem, (asyncio.TimeoutError, OSError)):
+            return
+        target.pool.replace()
+        if not await self.probe(target):
+            self.note_failure(target)
+
     async def is_dead(self, target: Target, boot: str) -> bool:
         """Tell whether an incarnation of a target has died.
 
--- a/packages/cardamom-platform/src/cardamom_platform/plugins.py
+++ b/packages/cardamom-platform/src/cardamom_platform/plugins.py
@@ -17,7 +17,7 @@
 OBJECT_TIMEOUT_S = 5.0
 CONTROL_TIMEOUT_S = 2.0
 
-FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
+FAILURES = (*pools.NETWORK_ERRORS, ValueError)
 
 Json = dict[str, typing.Any]
 
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -10,6 +10,9 @@
 CONNECT_TIMEOUT_S = 1.0
 CLOSE_AFTER_S = 130.0
 
+NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+
 
 @dataclasses.dataclass(frozen=True)
 class PoolSettings:
--- a/packages/cardamom-policy/src/cardamom_policy/placement.py
+++ b/packages/cardamom-policy/src/cardamom_policy/placement.py
@@ -403,28 +403,69 @@
 
 
 def _load_adapters(draft: _Draft) -> None:
-    """Load adapters in use beside every ready copy of their models."""
+    """Load adapters in use beside every ready copy of their models.
+
+    Where memory is short, one copy of each that is waited for is enough.
+    """
     for adapter, spec in sorted(
         draft.situation.configuration.adapters.items()
     ):
         demand = draft.situation.demand((spec.model, adapter))
         if not demand.waiting and demand.idle_ms >= ADAPTER_KEEP_MS:
             continue
-        for engine in draft.holders[spec.model]:
-            host = engine.by_name.get((spec.model, ""))
-            if host is None or not host.is_ready:
-                continue
-            if (spec.model, adapter) in engine.by_name:
-                continue
-            if draft.free_mb[engine.id] >= spec.memory_mb:
-                draft.load_adapter(engine, adapter, "in use")
-            else:
-                _unload_idle_adapter(draft, engine)
+        name = (spec.model, adapter)
+        hosts = [
+            engine
+            for engine in draft.least_loaded(draft.holders[spec.model])
+            if _is_ready(engine, (spec.model, ""))
+        ]
+        lacking = [engine for engine in hosts if name not in engine.by_name]
+        roomy = [
+            engine
+            for engine in lacking
+            if draft.free_mb[engine.id] >= spec.memory_mb
+        ]
+        for engine in roomy:
+            draft.load_adapter(engine, adapter, "in use")
+        is_nowhere = len(lacking) == len(hosts)
+        if demand.waiting and is_nowhere and not roomy:
+            _make_room_for_adapter(draft, hosts, adapter)
 
 
-def _unload_idle_adapter(draft: _Draft, engine: Engine) -> None:
-    if engine.id in draft.unloading:
-        return
+def _is_ready(engine: Engine, name: Name) -> bool:
+    held = engine.by_name.get(name)
+    return held is not None and held.is_ready
+
+
+def _make_room_for_adapter(
+    draft: _Draft,
+    hosts: list[Engine],
+    adapter: str,
+) -> None:
+    """Unload an adapter nobody waits for, else a copy that can be missed."""
+    reason = f"makes room for adapter {adapter}"
+    for engine in hosts:
+        if engine.id in draft.unloading:
+            return
+    for choose in (_idle_adapter, _surplus_copy):
+        for engine in hosts:
+            held = choose(draft, engine, adapter)
+            if held is not None:
+                draft.unload(engine, held, reason)
+                return
+
+
+def _idle_adapter(
+    draft: _Draft,
+    engine: Engine,
+    adapter: str,
+) -> Held | None:
+    """Return the adapter that has been idle for longest, if any is."""
+
+    def idle_ms(held: Held) -> tuple[int, str]:
+        name = (held.model, held.adapter)
+        return (draft.situation.demand(name).idle_ms, held.adapter)
+
     idle = [
         held
         for held in engine.by_name.values()
@@ -432,15 +473,26 @@
         and held.is_ready
         and not draft.situation.demand((held.model, held.adapter)).waiting
     ]
-    if not idle:
-        return
+    return max(idle, key=idle_ms, default=None)
 
-    def idle_ms(held: Held) -> tuple[int, str]:
-        name = (held.model, held.adapter)
-        return (draft.situation.demand(name).idle_ms, held.adapter)
 
-    held = max(idle, key=idle_ms)
-    draft.unload(engine, held, "makes room for another adapter")
+def _surplus_copy(
+    draft: _Draft,
+    engine: Engine,
+    adapter: str,
+) -> Held | None:
+    """Return the copy of another model that is missed least."""
+    model = draft.situation.configuration.adapters[adapter].model
+    copies = [
+        held
+        for held in engine.by_name.values()
+        if not held.adapter
+        and held.is_ready
+        and held.model != model
+        and len(draft.holders.get(held.model, ())) > 1
+        and _may_evict(draft, held, model)
+    ]
+    return min(copies, key=lambda held: _value(draft, held), default=None)
 
 
 def _spread_models(draft: _Draft) -> None:
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -409,3 +409,57 @@
     def test_nothing_moves_when_all_is_well(self) -> None:
         held = {"x": ["a", "c"], "y": ["b", "d"], "z": ["e"]}
         assert placement.plan(self._situation(held, {})) == []
+
+
+class TestAdapters:
+    """Adapters where memory is short."""
+
+    def _situation(
+        self,
+        held: list[str],
+        waiting: dict[str, int],
+        memory_mb: int = 350,
+    ) -> placement.Situation:
+        configuration = schema.Configuration(
+            models={"m": schema.Model(memory_mb=300)},
+            adapters={
+                name: schema.Adapter(model="m", memory_mb=50) for name in "xy"
+            },
+        )
+        names = [("m", ""), *[("m", adapter) for adapter in held]]
+        engine = placement.Engine(
+            "e",
+            "a",
+            memory_mb,
+            {
+                name: placement.Held(
+                    *name, "1", 50 if name[1] else 300, True, 0
+                )
+                for name in names
+            },
+        )
+        wants = {
+            ("m", adapter): placement.Demand(10.0, waiting.get(adapter, 0), 0)
+            for adapter in "xy"
+        }
+        return placement.Situation(
+            configuration, [engine], wants, 100_000, 800.0
+        )
+
+    def test_adapters_in_use_do_not_displace_each_other(self) -> None:
+        for held in ("x", "y"):
+            assert placement.plan(self._situation([held], {})) == []
+
+    def test_waited_for_adapter_displaces_an_idle_one_once(self) -> None:
+        moves = placement.plan(self._situation(["x"], {"y": 1}))
+        assert [(m.kind, m.adapter) for m in moves] == [
+            (placement.MoveKind.UNLOAD, "x")
+        ]
+        moves = placement.plan(self._situation(["y"], {}))
+        assert moves == []
+
+    def test_room_is_filled_with_what_is_in_use(self) -> None:
+        moves = placement.plan(self._situation(["x"], {}, 400))
+        assert [(m.kind, m.adapter) for m in moves] == [
+            (placement.MoveKind.LOAD, "y")
+        ]
