--- a/packages/cardamom-daemon/src/cardamom_daemon/targets.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/targets.py
@@ -217,6 +217,10 @@
         """Count a connection failure of a request."""
         target.failures += 1
 
+    def mark_down(self, target: Target) -> None:
+        """Give a target that has died nothing until it answers its watch."""
+        target.failures = max(target.failures, FAILURES_UNTIL_DOWN)
+
     async def suspect_silence(
         self,
         target: Target,
