Split what placement knows from how it plans

Change: situations.py holds engines, demand and moves; placement.py plans.

Conclusion: behaviour unchanged.

--- a/packages/cardamom-daemon/src/cardamom_daemon/placer.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/placer.py
@@ -19,6 +19,7 @@
 from cardamom_kernel import leases
 from cardamom_platform import interfaces
 from cardamom_policy import placement
+from cardamom_policy import situations
 
 LOG = structlog.get_logger("cardamom.placer")
 
@@ -30,7 +31,7 @@
 class _Pending:
     """An order that may have been sent and is not yet seen in a report."""
 
-    move: placement.Move
+    move: situations.Move
     boot: str
     sent_ms: int
 
@@ -61,7 +62,7 @@
         self._trusted_from_ms = 0
         self._load_credit = 0.0
         self._credit_ms = fleet.clock.now_ms()
-        self.history: collections.deque[tuple[int, placement.Move]] = (
+        self.history: collections.deque[tuple[int, situations.Move]] = (
             collections.deque(maxlen=KEPT_MOVES)
         )
 
@@ -101,7 +102,7 @@
             if move.model == model
         ]
 
-    async def _send(self, move: placement.Move) -> None:
+    async def _send(self, move: situations.Move) -> None:
         target = self._book.by_id.get(ids.TargetId(move.engine))
         if target is None or target.control is None:
             return
@@ -160,15 +161,15 @@
             if target.state is None or target.state_ms <= pending.sent_ms:
                 continue
             held = {(r.model, r.adapter) for r in target.state.residents}
-            is_load = pending.move.kind is placement.MoveKind.LOAD
+            is_load = pending.move.kind is situations.MoveKind.LOAD
             took_effect = (key[1:] in held) is is_load
             expired_ms = pending.sent_ms + 2 * ORDER_LIFETIME_MS
             if took_effect or target.state_ms > expired_ms:
                 del self._pending[key]
 
-    def _situation(self) -> placement.Situation:
+    def _situation(self) -> situations.Situation:
         now_ms = self._fleet.clock.now_ms()
-        return placement.Situation(
+        return situations.Situation(
             configuration=self._fleet.catalog.configuration,
             engines=[self._engine(t) for t in self._book.engines()],
             demand_by_name=self._demand(),
@@ -181,10 +182,10 @@
         engines = self._fleet.catalog.configuration.engines().values()
         return statistics.median(e.tokens_per_s for e in engines)
 
-    def _engine(self, target: target_module.Target) -> placement.Engine:
+    def _engine(self, target: target_module.Target) -> situations.Engine:
         now_ms = self._fleet.clock.now_ms()
         by_name = {
-            (r.model, r.adapter): placement.Held(
+            (r.model, r.adapter): situations.Held(
                 r.model,
                 r.adapter,
                 r.version,
@@ -199,11 +200,11 @@
             for r in (target.state.residents if target.state else ())
         }
         for (engine, model, adapter), pending in self._pending.items():
-            is_load = pending.move.kind is placement.MoveKind.LOAD
+            is_load = pending.move.kind is situations.MoveKind.LOAD
             name = (model, adapter)
             if engine == target.id and is_load and name not in by_name:
                 move = pending.move
-                by_name[name] = placement.Held(
+                by_name[name] = situations.Held(
                     model,
                     adapter,
                     move.version,
@@ -217,7 +218,7 @@
             and target.state_ms >= self._trusted_from_ms
             and now_ms - target.state_ms < target_module.STALE_STATE_MS
         )
-        return placement.Engine(
+        return situations.Engine(
             target.id,
             target.spec.data_centre,
             target.spec.memory_mb,
@@ -229,10 +230,10 @@
         pending = self._pending.get((engine, r.model, r.adapter))
         return r.state is interfaces.LoadState.UNLOADING or (
             pending is not None
-            and pending.move.kind is placement.MoveKind.UNLOAD
+            and pending.move.kind is situations.MoveKind.UNLOAD
         )
 
-    def _demand(self) -> dict[placement.Name, placement.Demand]:
+    def _demand(self) -> dict[situations.Name, situations.Demand]:
         notes = list(self._meter.notes())
         for peer in self._gossip.live():
             assert peer.heartbeat is not None
@@ -241,17 +242,17 @@
 
     def _within_rates(
         self,
-        moves: list[placement.Move],
-    ) -> list[placement.Move]:
+        moves: list[situations.Move],
+    ) -> list[situations.Move]:
         """Keep what the weight store and the engines can carry now."""
         store = self._fleet.catalog.configuration.weight_store
         loading = self._loading()
         models = sum(1 for _, adapter in loading if not adapter)
         adapters = len(loading) - models
         self._earn_credit(store)
-        kept: list[placement.Move] = []
+        kept: list[situations.Move] = []
         for move in moves:
-            if move.kind is placement.MoveKind.UNLOAD:
+            if move.kind is situations.MoveKind.UNLOAD:
                 kept.append(move)
             elif move.adapter:
                 if adapters < store.adapters_in_flight:
@@ -283,14 +284,14 @@
 
 def merge_demand(
     notes: list[messages.DemandNote],
-) -> dict[placement.Name, placement.Demand]:
+) -> dict[situations.Name, situations.Demand]:
     """Add up demand notes; a model's demand includes its adapters'."""
-    merged: dict[placement.Name, placement.Demand] = {}
+    merged: dict[situations.Name, situations.Demand] = {}
     for note in notes:
         names = {(note.model, note.adapter), (note.model, "")}
         for name in names:
-            known = merged.get(name, placement.Demand())
-            merged[name] = placement.Demand(
+            known = merged.get(name, situations.Demand())
+            merged[name] = situations.Demand(
                 known.tokens_per_s + note.tokens_per_s,
                 known.waiting + note.waiting,
                 min(known.idle_ms, note.idle_ms),
@@ -298,8 +299,8 @@
     return merged
 
 
-def _order(move: placement.Move, fence: int) -> interfaces.Order:
-    is_load = move.kind is placement.MoveKind.LOAD
+def _order(move: situations.Move, fence: int) -> interfaces.Order:
+    is_load = move.kind is situations.MoveKind.LOAD
     if move.adapter:
         kind = (
             interfaces.OrderKind.LOAD_ADAPTER
--- a/packages/cardamom-policy/src/cardamom_policy/placement.py
+++ b/packages/cardamom-policy/src/cardamom_policy/placement.py
@@ -10,11 +10,7 @@
 engine, in free memory or in the place of a copy that earns far less.
 """
 
-import dataclasses
-import enum
-import typing
-
-from cardamom_config import schema
+from cardamom_policy import situations
 
 EVICT_IDLE_MS = 20_000
 MIN_RESIDENCE_MS = 5_000
@@ -25,93 +21,8 @@
 SPREAD_MARGIN = 0.15
 EVICT_FACTOR = 6.0
 
-Name = tuple[str, str]
-
-
-class MoveKind(enum.Enum):
-    """What a planned move does."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-@dataclasses.dataclass(frozen=True)
-class Move:
-    """One planned order with its reason, for ``status --why``."""
-
-    kind: MoveKind
-    engine: str
-    model: str
-    adapter: str
-    version: str
-    memory_mb: int
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Held:
-    """A resident as counted: also one that may only be on its way."""
-
-    model: str
-    adapter: str
-    version: str
-    memory_mb: int
-    is_ready: bool
-    since_ms: int
-    is_leaving: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class Engine:
-    """One engine and everything that may be in its memory."""
-
-    id: str
-    data_centre: str
-    memory_mb: int
-    by_name: typing.Mapping[Name, Held]
-    is_usable: bool = True
-
-    @property
-    def free_mb(self) -> int:
-        """Return the memory that nothing may be using."""
-        return self.memory_mb - sum(h.memory_mb for h in self.by_name.values())
 
-    def serves(self, name: Name) -> bool:
-        """Tell whether a resident is held and not about to leave."""
-        held = self.by_name.get(name)
-        return self.is_usable and held is not None and not held.is_leaving
-
-
-@dataclasses.dataclass(frozen=True)
-class Demand:
-    """What callers ask of one model, or of one adapter of it."""
-
-    tokens_per_s: float = 0.0
-    waiting: int = 0
-    idle_ms: int = 1 << 40
-
-
-@dataclasses.dataclass(frozen=True)
-class Situation:
-    """Everything that a plan is made from."""
-
-    configuration: schema.Configuration
-    engines: typing.Sequence[Engine]
-    demand_by_name: typing.Mapping[Name, Demand]
-    now_ms: int
-    capacity_tokens_per_s: float
-
-    def demand(self, name: Name) -> Demand:
-        """Return the demand for a model or an adapter."""
-        return self.demand_by_name.get(name, Demand())
-
-    def model_memory_mb(self, model: str) -> int:
-        """Return what a model takes, its KV cache included."""
-        spec = self.configuration.models[model]
-        return spec.memory_mb + spec.kv_mb
-
-
-def plan(situation: Situation) -> list[Move]:
+def plan(situation: situations.Situation) -> list[situations.Move]:
     """Return the next moves, the most urgent first.
 
     Each engine stays within its memory whatever becomes of the moves.
@@ -128,9 +39,9 @@
 class _Draft:
     """The moves chosen so far and what they take."""
 
-    def __init__(self, situation: Situation) -> None:
+    def __init__(self, situation: situations.Situation) -> None:
         self.situation = situation
-        self.moves: list[Move] = []
+        self.moves: list[situations.Move] = []
         self.engines = [e for e in situation.engines if e.is_usable]
         adapters = situation.configuration.adapters.values()
         self.reserve_mb = min(
@@ -156,36 +67,59 @@
         copies = max(1, len(self.holders[model]) - fewer)
         return self.situation.demand((model, "")).tokens_per_s / copies
 
-    def least_loaded(self, engines: list[Engine]) -> list[Engine]:
+    def least_loaded(
+        self, engines: list[situations.Engine]
+    ) -> list[situations.Engine]:
         """Return engines by load, the least loaded first."""
         return sorted(engines, key=lambda e: (self.load[e.id], e.id))
 
-    def load_model(self, engine: Engine, model: str, reason: str) -> None:
+    def load_model(
+        self, engine: situations.Engine, model: str, reason: str
+    ) -> None:
         """Add a load and its memory and demand."""
         version = self.situation.configuration.models[model].version
         needed_mb = self.situation.model_memory_mb(model)
         self._add(
-            MoveKind.LOAD, engine, (model, ""), version, needed_mb, reason
+            situations.MoveKind.LOAD,
+            engine,
+            (model, ""),
+            version,
+            needed_mb,
+            reason,
         )
         self.free_mb[engine.id] -= needed_mb
         self._count_load(model, -1.0)
         self.holders[model].append(engine)
         self._count_load(model, 1.0)
 
-    def load_adapter(self, engine: Engine, adapter: str, reason: str) -> None:
+    def load_adapter(
+        self, engine: situations.Engine, adapter: str, reason: str
+    ) -> None:
         """Add a load of an adapter and its memory."""
         spec = self.situation.configuration.adapters[adapter]
         name = (spec.model, adapter)
         self._add(
-            MoveKind.LOAD, engine, name, spec.version, spec.memory_mb, reason
+            situations.MoveKind.LOAD,
+            engine,
+            name,
+            spec.version,
+            spec.memory_mb,
+            reason,
         )
         self.free_mb[engine.id] -= spec.memory_mb
 
-    def unload(self, engine: Engine, held: Held, reason: str) -> None:
+    def unload(
+        self, engine: situations.Engine, held: situations.Held, reason: str
+    ) -> None:
         """Add an unload; its memory stays counted until it is confirmed."""
         name = (held.model, held.adapter)
         self._add(
-            MoveKind.UNLOAD, engine, name, held.version, held.memory_mb, reason
+            situations.MoveKind.UNLOAD,
+            engine,
+            name,
+            held.version,
+            held.memory_mb,
+            reason,
         )
         self.unloading.add(engine.id)
         if not held.adapter and held.model in self.holders:
@@ -197,15 +131,15 @@
 
     def _add(
         self,
-        kind: MoveKind,
-        engine: Engine,
-        name: Name,
+        kind: situations.MoveKind,
+        engine: situations.Engine,
+        name: situations.Name,
         version: str,
         memory_mb: int,
         reason: str,
     ) -> None:
         self.moves.append(
-            Move(kind, engine.id, *name, version, memory_mb, reason)
+            situations.Move(kind, engine.id, *name, version, memory_mb, reason)
         )
 
     def _count_load(self, model: str, sign: float) -> None:
@@ -229,7 +163,7 @@
                 break
 
 
-def _wanted_version(draft: _Draft, held: Held) -> str | None:
+def _wanted_version(draft: _Draft, held: situations.Held) -> str | None:
     configuration = draft.situation.configuration
     if held.adapter:
         spec = configuration.adapters.get(held.adapter)
@@ -238,7 +172,9 @@
     return listed.version if listed else None
 
 
-def _is_last_ready(draft: _Draft, engine: Engine, held: Held) -> bool:
+def _is_last_ready(
+    draft: _Draft, engine: situations.Engine, held: situations.Held
+) -> bool:
     """Tell whether no other engine could answer for a model."""
     if held.adapter or len(draft.engines) == 1:
         return False
@@ -267,7 +203,7 @@
             _make_room(draft, model, reason)
 
 
-def _current_holders(draft: _Draft, model: str) -> list[Engine]:
+def _current_holders(draft: _Draft, model: str) -> list[situations.Engine]:
     """Return the holders of the version that is wanted."""
     version = draft.situation.configuration.models[model].version
     return [
@@ -306,7 +242,7 @@
     return True
 
 
-def _without(draft: _Draft, model: str) -> list[Engine]:
+def _without(draft: _Draft, model: str) -> list[situations.Engine]:
     """Return the engines that nothing of a model may be on."""
     holding = {engine.id for engine in draft.holders[model]}
     return [
@@ -319,7 +255,9 @@
 def _make_room(draft: _Draft, model: str, reason: str) -> None:
     """Unload the copy that is missed least, for a model that needs one."""
     needed_mb = draft.situation.model_memory_mb(model)
-    options: list[tuple[float, str, Engine, list[Held]]] = []
+    options: list[
+        tuple[float, str, situations.Engine, list[situations.Held]]
+    ] = []
     for engine in _without(draft, model):
         if engine.id in draft.unloading or engine.memory_mb < needed_mb:
             continue
@@ -336,10 +274,10 @@
 
 def _victims(
     draft: _Draft,
-    engine: Engine,
+    engine: situations.Engine,
     needed_mb: int,
     model: str,
-) -> list[Held]:
+) -> list[situations.Held]:
     """Return the copies whose unload makes room, the least missed first."""
     candidates = [
         held
@@ -351,7 +289,7 @@
     ]
     candidates.sort(key=lambda held: _value(draft, held))
     missing_mb = needed_mb - draft.free_mb[engine.id]
-    chosen: list[Held] = []
+    chosen: list[situations.Held] = []
     for held in candidates:
         if missing_mb <= 0:
             break
@@ -360,7 +298,9 @@
     return chosen if missing_mb <= 0 else []
 
 
-def _memory_with_adapters(engine: Engine, held: Held) -> int:
+def _memory_with_adapters(
+    engine: situations.Engine, held: situations.Held
+) -> int:
     return sum(
         other.memory_mb
         for other in engine.by_name.values()
@@ -368,7 +308,7 @@
     )
 
 
-def _value(draft: _Draft, held: Held) -> tuple[bool, float, str]:
+def _value(draft: _Draft, held: situations.Held) -> tuple[bool, float, str]:
     """Return what a copy is worth: the last of its model the most."""
     if held.model not in draft.holders:
         return (False, -1.0, held.model)
@@ -376,7 +316,7 @@
     return (is_last, draft.per_copy(held.model), held.model)
 
 
-def _may_evict(draft: _Draft, held: Held, model: str) -> bool:
+def _may_evict(draft: _Draft, held: situations.Held, model: str) -> bool:
     """Tell whether a copy may make room for a model.
 
     A model that is nowhere and waited for may take the place of any copy
@@ -432,14 +372,14 @@
             _make_room_for_adapter(draft, hosts, adapter)
 
 
-def _is_ready(engine: Engine, name: Name) -> bool:
+def _is_ready(engine: situations.Engine, name: situations.Name) -> bool:
     held = engine.by_name.get(name)
     return held is not None and held.is_ready
 
 
 def _make_room_for_adapter(
     draft: _Draft,
-    hosts: list[Engine],
+    hosts: list[situations.Engine],
     adapter: str,
 ) -> None:
     """Unload an adapter nobody waits for, else a copy that can be missed."""
@@ -457,12 +397,12 @@
 
 def _idle_adapter(
     draft: _Draft,
-    engine: Engine,
+    engine: situations.Engine,
     adapter: str,
-) -> Held | None:
+) -> situations.Held | None:
     """Return the adapter that has been idle for longest, if any is."""
 
-    def idle_ms(held: Held) -> tuple[int, str]:
+    def idle_ms(held: situations.Held) -> tuple[int, str]:
         name = (held.model, held.adapter)
         return (draft.situation.demand(name).idle_ms, held.adapter)
 
@@ -478,9 +418,9 @@
 
 def _surplus_copy(
     draft: _Draft,
-    engine: Engine,
+    engine: situations.Engine,
     adapter: str,
-) -> Held | None:
+) -> situations.Held | None:
     """Return the copy of another model that is missed least."""
     model = draft.situation.configuration.adapters[adapter].model
     copies = [
@@ -515,7 +455,9 @@
             _spread_to(draft, model, engines)
 
 
-def _spread_to(draft: _Draft, model: str, engines: list[Engine]) -> None:
+def _spread_to(
+    draft: _Draft, model: str, engines: list[situations.Engine]
+) -> None:
     needed_mb = draft.situation.model_memory_mb(model) + draft.reserve_mb
     reason = f"{draft.per_copy(model):.0f} tokens/s for each copy"
     for engine in engines:
--- /dev/null
+++ b/packages/cardamom-policy/src/cardamom_policy/situations.py
@@ -0,0 +1,92 @@
+"""What placement knows and decides: engines, demand and moves."""
+
+import dataclasses
+import enum
+import typing
+
+from cardamom_config import schema
+
+Name = tuple[str, str]
+
+
+class MoveKind(enum.Enum):
+    """What a planned move does."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """One planned order with its reason, for ``status --why``."""
+
+    kind: MoveKind
+    engine: str
+    model: str
+    adapter: str
+    version: str
+    memory_mb: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """A resident as counted: also one that may only be on its way."""
+
+    model: str
+    adapter: str
+    version: str
+    memory_mb: int
+    is_ready: bool
+    since_ms: int
+    is_leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """One engine and everything that may be in its memory."""
+
+    id: str
+    data_centre: str
+    memory_mb: int
+    by_name: typing.Mapping[Name, Held]
+    is_usable: bool = True
+
+    @property
+    def free_mb(self) -> int:
+        """Return the memory that nothing may be using."""
+        return self.memory_mb - sum(h.memory_mb for h in self.by_name.values())
+
+    def serves(self, name: Name) -> bool:
+        """Tell whether a resident is held and not about to leave."""
+        held = self.by_name.get(name)
+        return self.is_usable and held is not None and not held.is_leaving
+
+
+@dataclasses.dataclass(frozen=True)
+class Demand:
+    """What callers ask of one model, or of one adapter of it."""
+
+    tokens_per_s: float = 0.0
+    waiting: int = 0
+    idle_ms: int = 1 << 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Situation:
+    """Everything that a plan is made from."""
+
+    configuration: schema.Configuration
+    engines: typing.Sequence[Engine]
+    demand_by_name: typing.Mapping[Name, Demand]
+    now_ms: int
+    capacity_tokens_per_s: float
+
+    def demand(self, name: Name) -> Demand:
+        """Return the demand for a model or an adapter."""
+        return self.demand_by_name.get(name, Demand())
+
+    def model_memory_mb(self, model: str) -> int:
+        """Return what a model takes, its KV cache included."""
+        spec = self.configuration.models[model]
+        return spec.memory_mb + spec.kv_mb
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -20,6 +20,7 @@
 from cardamom_platform import interfaces
 from cardamom_platform import pools
 from cardamom_policy import placement
+from cardamom_policy import situations
 from tests import fakes
 from tests import test_changes
 
@@ -159,7 +160,7 @@
         self.placer.lease = lease
         typing.cast(typing.Any, self.placer)._demand = self.demand
 
-    def demand(self) -> dict[placement.Name, placement.Demand]:
+    def demand(self) -> dict[situations.Name, situations.Demand]:
         """Return what waits."""
         return placer.merge_demand(
             [
@@ -257,7 +258,7 @@
 class CountsOnUnloads(placer.Placer):
     """A mutant that frees memory when an unload is sent."""
 
-    def _engine(self, target: targets.Target) -> placement.Engine:
+    def _engine(self, target: targets.Target) -> situations.Engine:
         """Leave out what is about to leave."""
         engine = super()._engine(target)
         staying = {
@@ -366,7 +367,7 @@
         held: dict[str, list[str]],
         waiting: dict[str, int],
         now_ms: int = 100_000,
-    ) -> placement.Situation:
+    ) -> situations.Situation:
         configuration = schema.Configuration(
             models={
                 name: schema.Model(memory_mb=memory_mb)
@@ -374,12 +375,12 @@
             },
         )
         engines = [
-            placement.Engine(
+            situations.Engine(
                 name,
                 name,
                 ENGINE_MB,
                 {
-                    (model, ""): placement.Held(
+                    (model, ""): situations.Held(
                         model, "", "1", MODELS[model], True, 0
                     )
                     for model in models
@@ -388,10 +389,10 @@
             for name, models in held.items()
         ]
         wants = {
-            (model, ""): placement.Demand(100.0 * count, count, 0)
+            (model, ""): situations.Demand(100.0 * count, count, 0)
             for model, count in waiting.items()
         }
-        return placement.Situation(
+        return situations.Situation(
             configuration, engines, wants, now_ms, 800.0
         )
 
@@ -399,12 +400,12 @@
         held = {"x": ["a", "c"], "y": ["b", "c"], "z": ["d", "b"]}
         moves = placement.plan(self._situation(held, {"e": 1}))
         kinds = {(m.kind, m.model) for m in moves}
-        assert any(kind is placement.MoveKind.UNLOAD for kind, _ in kinds)
+        assert any(kind is situations.MoveKind.UNLOAD for kind, _ in kinds)
 
     def test_idle_models_fill_free_memory(self) -> None:
         moves = placement.plan(self._situation({"x": [], "y": []}, {}))
         assert moves
-        assert all(m.kind is placement.MoveKind.LOAD for m in moves)
+        assert all(m.kind is situations.MoveKind.LOAD for m in moves)
 
     def test_nothing_moves_when_all_is_well(self) -> None:
         held = {"x": ["a", "c"], "y": ["b", "d"], "z": ["e"]}
@@ -419,7 +420,7 @@
         held: list[str],
         waiting: dict[str, int],
         memory_mb: int = 350,
-    ) -> placement.Situation:
+    ) -> situations.Situation:
         configuration = schema.Configuration(
             models={"m": schema.Model(memory_mb=300)},
             adapters={
@@ -427,22 +428,22 @@
             },
         )
         names = [("m", ""), *[("m", adapter) for adapter in held]]
-        engine = placement.Engine(
+        engine = situations.Engine(
             "e",
             "a",
             memory_mb,
             {
-                name: placement.Held(
+                name: situations.Held(
                     *name, "1", 50 if name[1] else 300, True, 0
                 )
                 for name in names
             },
         )
         wants = {
-            ("m", adapter): placement.Demand(10.0, waiting.get(adapter, 0), 0)
+            ("m", adapter): situations.Demand(10.0, waiting.get(adapter, 0), 0)
             for adapter in "xy"
         }
-        return placement.Situation(
+        return situations.Situation(
             configuration, [engine], wants, 100_000, 800.0
         )
 
@@ -453,7 +454,7 @@
     def test_waited_for_adapter_displaces_an_idle_one_once(self) -> None:
         moves = placement.plan(self._situation(["x"], {"y": 1}))
         assert [(m.kind, m.adapter) for m in moves] == [
-            (placement.MoveKind.UNLOAD, "x")
+            (situations.MoveKind.UNLOAD, "x")
         ]
         moves = placement.plan(self._situation(["y"], {}))
         assert moves == []
@@ -461,5 +462,5 @@
     def test_room_is_filled_with_what_is_in_use(self) -> None:
         moves = placement.plan(self._situation(["x"], {}, 400))
         assert [(m.kind, m.adapter) for m in moves] == [
-            (placement.MoveKind.LOAD, "y")
+            (situations.MoveKind.LOAD, "y")
         ]
--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -14,6 +14,7 @@
 from cardamom_policy import fairness
 from cardamom_policy import placement
 from cardamom_policy import routing
+from cardamom_policy import situations
 from tools.bench import engines as engine_module
 from tools.bench import workload
 
@@ -196,7 +197,7 @@
         for move in placement.plan(self._situation()):
             engine = by_id[move.engine]
             name = (move.model, move.adapter)
-            if move.kind is placement.MoveKind.UNLOAD:
+            if move.kind is situations.MoveKind.UNLOAD:
                 self.unload(engine, name)
             elif move.adapter:
                 self.load(engine, move.model, move.adapter)
@@ -204,9 +205,9 @@
                 self._credit -= 1
                 self.load(engine, move.model)
 
-    def _situation(self) -> placement.Situation:
+    def _situation(self) -> situations.Situation:
         now_ms = self.clock.now_ms()
-        return placement.Situation(
+        return situations.Situation(
             configuration=self.configuration,
             engines=[self._view(engine) for engine in self.engines],
             demand_by_name=placer.merge_demand(self._meter.notes()),
@@ -216,14 +217,14 @@
             ),
         )
 
-    def _view(self, engine: engine_module.Engine) -> placement.Engine:
+    def _view(self, engine: engine_module.Engine) -> situations.Engine:
         now_ms = self.clock.now_ms()
-        return placement.Engine(
+        return situations.Engine(
             engine.id,
             engine.data_centre,
             engine.memory_mb,
             {
-                (model, adapter): placement.Held(
+                (model, adapter): situations.Held(
                     model,
                     adapter,
                     held.version,
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -32,6 +32,7 @@
 from cardamom_kernel import telemetry
 from cardamom_policy import placement
 from cardamom_policy import routing
+from cardamom_policy import situations
 from tools import deployment as deployments
 
 FOLDER = pathlib.Path("build/slopes")
@@ -198,12 +199,12 @@
         models={f"m{n}": schema.Model(memory_mb=10_000) for n in range(models)}
     )
     engines = [
-        placement.Engine(
+        situations.Engine(
             f"e{n}",
             f"dc{n % 4}",
             80_000,
             {
-                (f"m{m % models}", ""): placement.Held(
+                (f"m{m % models}", ""): situations.Held(
                     f"m{m % models}", "", "1", 10_000, True, 0
                 )
                 for m in range(n * 3, n * 3 + 6)
@@ -211,11 +212,11 @@
         )
         for n in range(targets)
     ]
-    situation = placement.Situation(
+    situation = situations.Situation(
         spec,
         engines,
         {
-            (f"m{n}", ""): placement.Demand(1_000 / (n + 1), 0, 0)
+            (f"m{n}", ""): situations.Demand(1_000 / (n + 1), 0, 0)
             for n in range(models)
         },
         100_000,
