--- a/packages/cardamom-daemon/src/cardamom_daemon/messages.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/messages.py
@@ -123,12 +123,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class SeatPassed:
-    """Everything that a successor needs to hold a seat."""
+    """Everything that a successor needs to hold a seat.
+
+    It must hold the documents that the predecessor has acknowledged.
+    """
 
     seat: SeatNote
     report: shares.Report
     grants: list[shares.Grant]
     withdrawn: list[str]
+    version_by_document: dict[str, int]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
@@ -96,6 +96,8 @@
         seat = gossips.seat_from(passed.seat)
         if seat.holder != fleet.instance:
             return False
+        if not _covers(fleet.documents.versions(), passed.version_by_document):
+            return False
         fleet.withdraw(passed.withdrawn)
         fleet.learn_seat(seat)
         if fleet.own_seat != seat.id:
@@ -111,12 +113,14 @@
             (s for s in fleet.seats() if s.id == fleet.own_seat),
             None,
         )
+        versions = fleet.documents.versions()
         free = [
             peer
             for peer in self._gossip.live()
             if peer.heartbeat
             and not peer.heartbeat.seat
             and not peer.heartbeat.is_leaving
+            and _covers(peer.heartbeat.version_by_document, versions)
         ]
         if mine is None or not free:
             return False
@@ -135,6 +139,7 @@
             report,
             fleet.shares.give_all(ids.random_id("pass")),
             fleet.withdrawn.members(),
+            versions,
         )
         fleet.learn_seat(gossips.seat_from(note))
         try:
@@ -295,3 +300,10 @@
         first_ms = self._seen_ms_by_seat.setdefault(seat, now_ms)
         heard_ms = max(first_ms, self._fleet.freshness.heard_ms(seat))
         return now_ms - heard_ms < within_ms
+
+
+def _covers(held: dict[str, int], wanted: dict[str, int]) -> bool:
+    """Tell whether every wanted document is held, in no older version."""
+    return all(
+        held.get(name, 0) >= version for name, version in wanted.items()
+    )
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from cardamom_daemon import messages
 from tests import harness
 
 COMPLETIONS = "/v1/chat/completions"
@@ -223,6 +224,32 @@
 
         asyncio.run(scene())
 
+    def test_successor_must_hold_what_was_acknowledged(self) -> None:
+        async def scene() -> None:
+            async with harness.running_world() as world:
+                first = world.instances[0]
+                heir = await world.start_instance()
+                await world.until(heir.fleet.is_ready)
+                keeper = heir.keeper
+                heir.fleet.own_seat = None
+                seat = first.fleet.seats()[0]
+                versions = first.fleet.documents.versions()
+                note = messages.SeatNote(
+                    seat.id,
+                    heir.fleet.instance,
+                    heir.settings.peer_address,
+                    "dc-a",
+                    seat.generation + 1,
+                )
+                report = first.fleet.shares.last_report()
+                newer = {**versions, "config": versions["config"] + 1}
+                for wanted in (newer, versions):
+                    passed = messages.SeatPassed(note, report, [], [], wanted)
+                    taken = keeper.accept_seat(passed)
+                    assert taken is (wanted is versions)
+
+        asyncio.run(scene())
+
     def test_withdrawal_without_the_table(self) -> None:
         async def scene() -> None:
             async with harness.running_world(instances=3) as world:
