--- a/packages/cardamom-standins/src/cardamom_standins/service.py
+++ b/packages/cardamom-standins/src/cardamom_standins/service.py
@@ -60,6 +60,7 @@
                 "path": request.path_qs,
                 "body_sha256": hashlib.sha256(body).hexdigest(),
                 "request_id": request.headers.get("X-Request-Id", ""),
+                "traceparent": request.headers.get("traceparent", ""),
             }
         )
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -115,3 +115,27 @@
                 assert runs == 1
 
         asyncio.run(scene())
+
+
+class TestTraces:
+    """Trace context, from the caller to the target and back."""
+
+    def test_trace_goes_to_the_target_and_returns(self) -> None:
+        trace_id = "4bf92f3577b34da6a3ce929d0e0e4736"
+        parent = f"00-{trace_id}-00f067aa0ba902b7-01"
+
+        async def scene() -> None:
+            async with harness.running_world() as world:
+                async with aiohttp.ClientSession() as session:
+                    async with session.get(
+                        world.caller_url() + "/profiles/a",
+                        headers=world.headers(traceparent=parent),
+                    ) as response:
+                        answer = await response.json()
+                returned = response.headers["traceparent"]
+                assert returned.split("-")[1] == trace_id
+                passed = answer["traceparent"].split("-")
+                assert passed[1] == trace_id
+                assert passed[2] not in (parent, returned.split("-")[2])
+
+        asyncio.run(scene())
