Settle a roster, so that a replaced seat does not weigh on the next loss

Change: once an epoch is in force, the proposer writes one with the same seats, after which the earlier seats count no more. Neighbouring epochs still share their quorums, and the wait between epochs is the same.

Measured: a new test loses two of four instances one after the other and sees one set of voters and both others fresh; the state machine of freshness and the scenes pass (24 tests).

--- a/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/roster_keeper.py
@@ -225,7 +225,7 @@
         is_passed = any(
             seat != roster.by_seat[seat.id] for seat in self._fleet.seats()
         )
-        if add or remove or is_passed:
+        if add or remove or is_passed or not roster.is_settled:
             await self._write(add, remove)
 
     async def _write(
--- a/packages/cardamom-kernel/src/cardamom_kernel/rosters.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/rosters.py
@@ -36,10 +36,19 @@
             None,
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the epoch before has no seats of its own.
+
+        Until then a quorum of the earlier seats is needed as well, also of
+        those that have died.  An epoch with the same seats ends that.
+        """
+        return not self.previous or self.previous == frozenset(self.by_seat)
+
     def voter_sets(self) -> tuple[frozenset[ids.SeatId], ...]:
         """Return the seat sets in each of which a quorum is needed."""
         current = frozenset(self.by_seat)
-        if not self.previous or self.previous == current:
+        if self.is_settled:
             return (current,)
         return (current, self.previous)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -224,6 +224,28 @@
 
         asyncio.run(scene())
 
+    def test_replaced_seat_does_not_weigh_on_the_next_loss(self) -> None:
+        async def scene() -> None:
+            async with harness.running_world(instances=4) as world:
+                left = world.instances
+                for _ in range(2):
+                    lost = left.pop()
+                    await lost.close()
+                    await world.until(
+                        lambda: all(
+                            i.fleet.roster is not None
+                            and len(i.fleet.seats()) == len(left)
+                            and i.fleet.roster.is_settled
+                            for i in left
+                        )
+                    )
+                voters = left[0].fleet.roster
+                assert voters is not None
+                assert len(voters.voter_sets()) == 1
+                assert all(i.fleet.is_fresh() for i in left)
+
+        asyncio.run(scene())
+
     def test_successor_must_hold_what_was_acknowledged(self) -> None:
         async def scene() -> None:
             async with harness.running_world() as world:
