Take out what is dead, and two copies with small variations

Change: the dead parts are gone; the bound overrides only which engines can serve and how warm they are; the test has one roster. No assertion, bound or expectation is touched.

Conclusion: behaviour unchanged.

--- a/packages/cardamom-policy/src/cardamom_policy/fairness.py
+++ b/packages/cardamom-policy/src/cardamom_policy/fairness.py
@@ -151,14 +151,6 @@
         self._length -= len(expired)
         return expired
 
-    def waiting_by_model(self) -> dict[str, int]:
-        """Return how many entries wait, by model."""
-        counts: collections.Counter[str] = collections.Counter()
-        for queue in self._by_team.values():
-            for model, flow in queue.by_model.items():
-                counts[model] += len(flow)
-        return dict(counts)
-
     def waiting_tokens(self, team: ids.TeamId) -> float:
         """Return the tokens that a team has waiting."""
         queue = self._by_team.get(team)
--- a/tests/kernel/test_freshness.py
+++ b/tests/kernel/test_freshness.py
@@ -428,6 +428,15 @@
 class TestFreshness:
     """Single properties."""
 
+    def _three_seats(self) -> rosters.Roster:
+        seats = {
+            ids.SeatId(n): rosters.Seat(
+                ids.SeatId(n), ids.InstanceId(n), "", ids.DataCentreId("a")
+            )
+            for n in ("a", "b", "c")
+        }
+        return rosters.Roster(1, seats, frozenset())
+
     def test_quorums_share_a_seat(self) -> None:
         for seats in range(1, 400):
             without = rosters.quorum_without_table(seats)
@@ -441,15 +450,7 @@
     def test_pause_ends_the_right(self) -> None:
         clock = clocks.SteppedClock(10_000)
         tracker = freshness.Freshness(clock)
-        seats = {
-            ids.SeatId(n): rosters.Seat(
-                ids.SeatId(n), ids.InstanceId(n), "", ids.DataCentreId("a")
-            )
-            for n in ("a", "b", "c")
-        }
-        tracker.hold_roster(
-            rosters.Roster(1, seats, frozenset()), ids.SeatId("a")
-        )
+        tracker.hold_roster(self._three_seats(), ids.SeatId("a"))
         assert not tracker.is_fresh()
         tracker.confirm_seat(ids.SeatId("b"), clock.now_ms())
         assert tracker.is_fresh()
@@ -459,14 +460,9 @@
     def test_gone_seats_count_beside_the_table_only(self) -> None:
         clock = clocks.SteppedClock(10_000)
         tracker = freshness.Freshness(clock)
-        seats = {
-            ids.SeatId(n): rosters.Seat(
-                ids.SeatId(n), ids.InstanceId(n), "", ids.DataCentreId("a")
-            )
-            for n in ("a", "b", "c")
-        }
-        tracker.hold_roster(rosters.Roster(1, seats, frozenset()), None)
-        tracker.set_gone(seats)
+        roster = self._three_seats()
+        tracker.hold_roster(roster, None)
+        tracker.set_gone(roster.by_seat)
         assert not tracker.is_fresh()
         tracker.confirm_table(clock.now_ms())
         assert tracker.is_fresh()
--- a/tools/bench/policies.py
+++ b/tools/bench/policies.py
@@ -165,7 +165,6 @@
         self._meter.wait(name, -1)
 
     def _choose(self, request: workload.Request) -> routing.Candidate | None:
-        now_ms = self.clock.now_ms()
         candidates = [
             routing.Candidate(
                 id=ids.TargetId(engine.id),
@@ -173,14 +172,25 @@
                 own_in_flight=len(engine.running),
                 others_in_flight=0,
                 is_local=True,
-                up_ms=now_ms - engine.up_since_ms,
+                up_ms=self._up_ms(engine),
                 has_prefix=request.prefix in engine.prefixes,
             )
             for engine in self.engines
-            if engine.is_ready(request.model, request.adapter, now_ms)
+            if self._can_serve(engine, request)
         ]
         return routing.choose(candidates)
 
+    def _up_ms(self, engine: engine_module.Engine) -> int:
+        return self.clock.now_ms() - engine.up_since_ms
+
+    def _can_serve(
+        self,
+        engine: engine_module.Engine,
+        request: workload.Request,
+    ) -> bool:
+        now_ms = self.clock.now_ms()
+        return engine.is_ready(request.model, request.adapter, now_ms)
+
     def place(self, is_table_up: bool) -> None:
         """Plan and carry out the moves that the store's rate allows."""
         now_ms = self.clock.now_ms()
@@ -243,20 +253,15 @@
 
     name = "upper_bound"
 
-    def _choose(self, request: workload.Request) -> routing.Candidate | None:
-        candidates = [
-            routing.Candidate(
-                id=ids.TargetId(engine.id),
-                slots=engine_module.SLOTS,
-                own_in_flight=len(engine.running),
-                others_in_flight=0,
-                is_local=True,
-                has_prefix=request.prefix in engine.prefixes,
-            )
-            for engine in self.engines
-            if engine.is_up
-        ]
-        return routing.choose(candidates)
+    def _up_ms(self, engine: engine_module.Engine) -> int:
+        return routing.WARM_UP_MS
+
+    def _can_serve(
+        self,
+        engine: engine_module.Engine,
+        request: workload.Request,
+    ) -> bool:
+        return engine.is_up
 
     def place(self, is_table_up: bool) -> None:
         """Hold everything already."""
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -21,7 +21,6 @@
 FLEET_SECRET = "fleet-secret-of-the-demo"
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 20.0
 POLL_S = 0.1
 EXAMPLES = pathlib.Path("examples")
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -44,7 +44,6 @@
 TARGETS = (9, 90, 750, 1_500)
 REPEATS = 200
 IDLE_S = 6.0
-HEARTBEATS_PER_S = 2.0
 
 Point = dict[str, float]
 
