Ask only engines for reports

Change: only targets of services with engines are learnt. Test: test_only_engines_are_asked_for_reports failed before.

--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -244,12 +244,16 @@
 
     def _sync(self) -> None:
         """Take in what the engines' entries say."""
-        by_id = self._state.book.by_id
+        engine_by_id = {
+            target_id: record.target
+            for service in self._services()
+            for target_id, record in self._state.book.by_id.items()
+            if record.target.service == service.id
+        }
         for target_id in list(self._control_by_id):
-            if target_id not in by_id:
+            if target_id not in engine_by_id:
                 del self._control_by_id[target_id]
-        for target_id, record in by_id.items():
-            target = record.target
+        for target_id, target in engine_by_id.items():
             control = self._control_by_id.get(target_id)
             if control is None or control.born_ms != target.born_ms:
                 control = Control(
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -226,6 +226,7 @@
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.orders: list[dict[str, typing.Any]] = []
         self.accepted = 0
+        self.reports = 0
         self.models: dict[str, list[str]] = {}
         self.on_disk: list[str] = []
         self.writes = 40  # has nothing to do with the number of orders
@@ -252,6 +253,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request, a report or an order."""
         if request.path == "/api/report":
+            self.reports += 1
             return self._json(
                 {
                     "models": self._models(),
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -443,6 +443,18 @@
 
         play(scene, plain=0, engines=1)
 
+    def test_only_engines_are_asked_for_reports(self) -> None:
+        """A plain service has none; each call would take a slot there."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            await standins.wait_until(lambda: bed.replicas[1].reports > 0)
+            await asyncio.sleep(0.5)
+            assert bed.replicas[0].reports == 0
+
+        play(scene, plain=1, engines=1)
+
     def test_adapters_take_turns_in_one_place(self) -> None:
         """An adapter is loaded by the holder; no place is used twice."""
 
