Tell rates at once, store their use by age, and name true waits

Change: an instance tells its counts at once when the untold part could matter; peers' rates are taken over a second; while every member is heard 0.75 of the overage is used (0.6 before); the store keeps use by age on its own clock; Retry-After is when enough leaves the window. Refusals, answers and plans name model, team and charge. Ruled out: a higher part without telling at once. A simulation with the users' sizes exceeds the rule then (tests/policy: TestFlood). Tests: TestFlood, TestWait, the herd restart that leaves a team its rate and test_usage; the herd tests now restart from what is stored, same bounds.

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 import random
+import typing
 
 from aiohttp import web
 
@@ -18,7 +19,6 @@
 MAX_URGENCY = 9
 CONFIGURATION_RETRY_MS = 500  # a new instance learns one within this time
 MIN_RATE_RETRY_MS = 50
-MS_PER_S = 1000
 
 
 @dataclasses.dataclass
@@ -37,6 +37,7 @@
     fingerprint: str
     cutter: streams.EventCutter
     is_charged: bool = False
+    charged: float = 0.0
     sent: int = 0
     may_have_run: bool = False
     unreached: int = 0
@@ -55,8 +56,13 @@
 class Admission:
     """Admits requests, or refuses them before they have run."""
 
-    def __init__(self, state: state_module.GatewayState) -> None:
+    def __init__(
+        self,
+        state: state_module.GatewayState,
+        tell_rates: typing.Callable[[], None],
+    ) -> None:
         self._state = state
+        self._tell_rates = tell_rates
 
     async def admit(self, request: web.BaseRequest, arrived_ms: int) -> Call:
         """Return the call of a request; raises Refused or MalformedMessage."""
@@ -150,14 +156,17 @@
         check = state.rates.take if is_sent else state.rates.fits
         if check(team.id, cost, limit, now_ms):
             call.is_charged = is_sent
+            call.charged = cost if is_sent else 0.0
+            if is_sent and state.rates.is_news_due(team.id, limit, now_ms):
+                self._tell_rates()
             return
         used = state.rates.used(team.id, now_ms, limit)
-        excess_ms = (used + cost - limit) / team.rate_per_s * MS_PER_S
+        wait_ms = state.rates.wait_ms(team.id, cost, limit, now_ms)
         raise refused(
             outcomes.Code.RATE_EXCEEDED,
             f"{used:.0f} of {limit:.0f} used, {cost:.0f} asked",
             outcomes.Step.ADMIT,
-            retry_after_ms=max(MIN_RATE_RETRY_MS, int(excess_ms)),
+            retry_after_ms=max(MIN_RATE_RETRY_MS, wait_ms),
         )
 
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -17,6 +17,7 @@
 | ``h`` | what engines hold |
 """
 
+import asyncio
 import typing
 
 from cardamom_kernel import clocks
@@ -31,6 +32,7 @@
 
 CHANGED_MS = 2_300  # so that each change is told twice or more often
 ELDER_MS = 4_000  # processes that are restarted together differ by less
+RATES_DELAY_MS = 5  # requests that come together are told together
 REFRESH_MS = 2_000  # holdings are told anew, as datagrams may be lost
 
 HoldingsByTarget = dict[ids.TargetId, target_book.Holdings]
@@ -57,6 +59,7 @@
         self._refreshed_ms: int = clocks.NEVER_MS
         self._told: HoldingsByTarget = {}
         self._started_ms = state.clock.now_ms()
+        self._is_telling_rates = False
         self.link = peers.PeerLink(
             state.settings,
             state.clock,
@@ -140,13 +143,14 @@
             state.book.mark_left(ids.TargetId(target_id), born_ms, writes)
         if "l" in news:
             self._receive_load(incarnation, news["l"])
-        state.demand_view.heard(
-            incarnation,
-            {
-                name: demand.ModelNews.decode(told)
-                for name, told in news.get("m", {}).items()
-            },
-        )
+        if "m" in news:
+            state.demand_view.heard(
+                incarnation,
+                {
+                    name: demand.ModelNews.decode(told)
+                    for name, told in news["m"].items()
+                },
+            )
         state.suspicions.merge(
             suspicion.SuspectNote(told[0], tuple(told[1]), told[2])
             for told in news.get("s", ())
@@ -186,6 +190,24 @@
             self.link.member_by_id.values(), self._base_news() | {"g": [left]}
         )
 
+    def tell_rates(self) -> None:
+        """Tell peers this instance's use of rates within a moment."""
+        if self._is_telling_rates:
+            return
+        self._is_telling_rates = True
+        asyncio.get_running_loop().call_later(
+            RATES_DELAY_MS / 1000, self._tell_rates_now
+        )
+
+    def _tell_rates_now(self) -> None:
+        self._is_telling_rates = False
+        now_ms, rates = self._clock.now_ms(), self._state.rates
+        changed = _rounded(rates.export(now_ms, now_ms - CHANGED_MS))
+        rates.note_told()
+        self.link.send(
+            self.link.some_members(), self._base_news() | {"q": changed}
+        )
+
     def publish(self) -> None:
         """Tell every peer, and this instance, of changed holdings."""
         holdings = self._holdings()
--- a/packages/cardamom-gateway/src/cardamom_gateway/followers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/followers.py
@@ -46,6 +46,11 @@
         self.is_reached = False
         self.called_ms: int | None = None
         self.back_ms: int = clocks.NEVER_MS
+        self._store_ahead_ms = 0
+
+    def store_ms(self) -> int:
+        """Return the store's clock, as its last answer told it."""
+        return self._clock.now_ms() + self._store_ahead_ms
 
     def skip_to(self, version: int) -> None:
         """Continue after a change that was learnt from a peer."""
@@ -73,6 +78,7 @@
         finally:
             self.called_ms = None
         self._note_reached()
+        self._store_ahead_ms = changes.store_ms - self._clock.now_ms()
         if changes.version < self.version:
             return  # a peer has told more meanwhile
         self.version = changes.version
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -44,9 +44,10 @@
         load_adapter: AdapterLoader,
         note_broken: typing.Callable[[attempts.Attempt], None],
         note_waiting: typing.Callable[[], None],
+        tell_rates: typing.Callable[[], None],
     ) -> None:
         self._state = state
-        self._admission = admission.Admission(state)
+        self._admission = admission.Admission(state, tell_rates)
         self._client = client
         self._load_adapter = load_adapter
         self._note_broken = note_broken
@@ -389,6 +390,9 @@
             "forward: answered",
             id=head.attempt,
             route=call.route.id,
+            model=head.model,
+            team=call.team.id if call.team else "",
+            charged=round(call.charged),
             target=record.target.id,
             status=answer.status,
             sent=call.sent,
@@ -549,6 +553,7 @@
             "forward: refused",
             id=attempt,
             route=call.route.id if call else "",
+            model=call.head.model if call else "",
             code=refusal.code.value,
             status=refusal.status,
             step=refusal.step.value,
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -14,6 +14,7 @@
 from cardamom_kernel import leases
 from cardamom_kernel import registry
 from cardamom_kernel import tasks
+from cardamom_policy import fleet_windows
 
 from cardamom_gateway import attempts
 from cardamom_gateway import exchange
@@ -29,6 +30,7 @@
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import state as state_module
 from cardamom_gateway import target_watch
+from cardamom_gateway import usage
 
 LOG = structlog.get_logger("cardamom.gateway")
 
@@ -124,6 +126,7 @@
             self._load_adapter,
             self.watch.note_broken,
             self._note_waiting,
+            self.exchange.tell_rates,
         )
         topics = interfaces.Topic
         self.configurations = self._follower(
@@ -338,24 +341,35 @@
 
     def _take_usage(self, value: bytes | None) -> None:
         """Take what teams had used when a holder wrote it last."""
-        parts = orjson.loads(value) if value else {}
-        self.state.rates.set_earlier(parts)
+        try:
+            profiles = usage.decode(value, self.fleet.store_ms())
+        except usage.MalformedUsage as error:
+            LOG.warning("gateway: stored usage not usable", error=str(error))
+            profiles = {}
+        now_ms = self.clock.now_ms()
+        self.state.rates.set_earlier(
+            {
+                team: fleet_windows.Profile(now_ms - age_ms, amounts)
+                for team, (age_ms, amounts) in profiles.items()
+            }
+        )
 
     async def _keep_usage(self) -> None:
-        """Store which teams are near their limits, for later starts."""
+        """Store the use of teams near their limits, for later starts."""
         configuration, now_ms = self.state.configuration, self.clock.now_ms()
         if not self.placer.is_holder or configuration is None:
             return
-        parts: dict[str, float] = {}
-        for team in configuration.team_by_id.values():
-            limit = self.state.rate_limit(team)
-            if limit > 0 and team.rate_per_s > 0:
-                if self.state.rates.is_pressed(team.id, limit, now_ms):
-                    used = self.state.rates.used(team.id, now_ms)
-                    parts[team.id] = round(used / limit, 2)
-        if parts or self._stored_usage:
-            await self._table.commit({}, {USAGE_KEY: parts})
-        self._stored_usage = bool(parts)
+        rates = self.state.rates
+        pressed = {
+            team.id: rates.profile(team.id, now_ms).amounts
+            for team in configuration.team_by_id.values()
+            if team.rate_per_s > 0
+            and rates.is_pressed(team.id, self.state.rate_limit(team), now_ms)
+        }
+        if pressed or self._stored_usage:
+            row = usage.encode(pressed, self.fleet.store_ms())
+            await self._table.commit({}, {USAGE_KEY: row})
+        self._stored_usage = bool(pressed)
 
     @property
     def _name(self) -> str:
--- a/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
@@ -46,10 +46,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changes:
-    """Changes in order, up to and with a version of the store."""
+    """Changes in order, up to and with a version of the store.
+
+    ``store_ms`` is the store's steady clock as it answered.
+    """
 
     changes: tuple[Change, ...]
     version: int
+    store_ms: int
 
     @property
     def last_change(self) -> int:
--- a/packages/cardamom-gateway/src/cardamom_gateway/peers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peers.py
@@ -98,6 +98,7 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def set_members(self, members: typing.Iterable[Member]) -> None:
         """Name the instances that are registered, this one left out."""
@@ -116,6 +117,10 @@
             if now_ms - peer.heard_ms <= SILENT_MS
         ]
 
+    def some_members(self) -> list[Member]:
+        """Return the members, or a sample where they are many."""
+        return _sample(list(self.member_by_id.values()))
+
     def tell(
         self, members: typing.Iterable[Member], audience: Audience
     ) -> None:
@@ -130,7 +135,9 @@
             "z": self._settings.data_centre,
         }
         data = orjson.dumps(news)
-        if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
+        if self._transport is None:
+            return
+        if len(data) > MAX_DATAGRAM_BYTES:
             LOG.warning("peers: news not sent", bytes=len(data))
             return
         for member in members:
@@ -153,8 +160,7 @@
                 or round_number % every == 0
                 or (member.id == self._holder() and round_number % 2 == 0)
             ]
-            if len(members) > FANOUT:
-                members = random.sample(members, FANOUT)
+            members = _sample(members)
             by_audience = collections.defaultdict(list)
             for member in members:
                 by_audience[self._audience(member)].append(member)
@@ -191,3 +197,9 @@
             self._receive(f"{peer_id}@{incarnation}", news)
         except (ValueError, KeyError, TypeError, IndexError) as error:
             LOG.warning("peers: malformed news", error=repr(error))
+
+
+def _sample(members: list[Member]) -> list[Member]:
+    if len(members) <= FANOUT:
+        return members
+    return random.sample(members, FANOUT)
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -297,7 +297,21 @@
             if record.target.id in self._control_by_id
         }
         situation = self._situation(engine, controls)
-        for move in tiering.plan(situation):
+        moves = tiering.plan(situation)
+        if moves:
+            LOG.info(
+                "placing: plan",
+                service=service.id,
+                moves=len(moves),
+                store_loads_left=situation.store_loads,
+                demand_by_model={
+                    name: [round(demand.work_per_s), demand.waiting]
+                    for name, demand in situation.demand_by_model.items()
+                    if demand.work_per_s >= 1 or demand.waiting
+                },
+                wanted_by_model=tiering.copies_by_model(situation),
+            )
+        for move in moves:
             record, control = controls[ids.TargetId(move.engine)]
             if move.from_store:
                 self._store_loads.append(self._state.clock.now_ms())
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -15,6 +15,7 @@
 from cardamom_gateway import target_book
 
 OVERAGE_PART = 0.6  # of the allowed overage of rates
+SETTLED_OVERAGE_PART = 0.75  # the same while every member is heard
 SLACK_PART = 0.8  # of the retry slack; the rest covers lagging counts
 POISON_RETENTION_MS = 60_000  # a request that crashes targets is retried soon
 
@@ -119,11 +120,13 @@
         covers what is admitted between two exchanges with peers.
         """
         settings = self.settings
+        is_settled = self.rates.is_settled(self.clock.now_ms())
+        part = SETTLED_OVERAGE_PART if is_settled else OVERAGE_PART
         window_s = settings.rate_window_ms / 1000
         limit = team.rate_per_s * window_s + team.burst
         return (
-            limit * (1 + settings.rate_overage * OVERAGE_PART)
-            + settings.rate_tolerance * OVERAGE_PART
+            limit * (1 + settings.rate_overage * part)
+            + settings.rate_tolerance * part
         )
 
     def take_repeat(self, service: model.ServiceId) -> bool:
--- a/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
+++ b/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
@@ -6,23 +6,35 @@
 be heard holds itself to the same fixed part when it hears nobody, so the sum
 over both sides of a cut stays within the limit.
 
-It answers for bursts of one team over several instances, and for bursts of
-retries while targets fail.
+Counts are told again as soon as the untold part could matter
+(``is_news_due``), and what peers have counted since they were heard is
+estimated from their rate of the last second.
+
+It answers for bursts of one team over several instances, for teams whose use
+stays near their limit, and for bursts of retries while targets fail.
 """
 
 import collections
 import dataclasses
+import itertools
 import typing
 
 FRESH_MS = 3_200  # three periods of the slowest exchange between peers
 PRESSED_FRESH_MS = 1_400  # three periods while a key is pressed
 PRESSED_PART = 0.6  # of a limit; ordinary use stays below
+MS_PER_S = 1000
 BUCKET_MS = 50  # resolution of the sliding windows
-GROWTH_PART = 0.2  # of a limit; a flood's growth since the last storing
+PROFILE_STEP_MS = 500  # of a stored profile
+GROWTH_PER_S = 0.3  # of a limit; a flood's growth since a profile was stored
 EARLIER_PART = 0.6  # of a limit, used before a start; more is stored
 MAX_LAG_MS = 1_000  # for which a peer's last rate is carried on
+TELL_MS = 250  # within which a peer tells what it counts; then it may be cut
+RATE_SPAN_MS = 1_000  # over which a peer's rate is measured
+UNTOLD_PART = 0.04  # of a limit that all instances may leave untold
+PRESSED_UNTOLD_PART = 0.004  # the same while the key is pressed
 NEW_HEADROOM = 0.88  # for the first window, as earlier use is estimated
-HEADROOM = 0.97  # the rest covers what is admitted between two exchanges
+HEADROOM = 0.97  # while a member is silent; the rest covers its lag
+SETTLED_HEADROOM = 0.98  # while every member is heard
 
 
 class SlidingSum:
@@ -46,6 +58,18 @@
             return
         self._buckets.append([start_ms, amount])
 
+    def since(self, from_ms: int) -> float:
+        """Return what was counted in buckets that begin at or after."""
+        recent = itertools.takewhile(
+            lambda bucket: bucket[0] >= from_ms, reversed(self._buckets)
+        )
+        return sum(amount for _, amount in recent)
+
+    def leaving(self) -> typing.Iterator[tuple[float, float]]:
+        """Yield when each bucket leaves the window, and its amount."""
+        for start_ms, amount in self._buckets:
+            yield start_ms + self._window_ms + BUCKET_MS + 1, amount
+
     def sum(self, now_ms: int) -> float:
         """Return what was counted within the window."""
         buckets = self._buckets
@@ -57,16 +81,39 @@
         return self._sum
 
 
+@dataclasses.dataclass(frozen=True)
+class Profile:
+    """What a fleet had counted of a key within a window, by age.
+
+    ``amounts`` begins with the latest ``PROFILE_STEP_MS``; ``recorded_ms``
+    is by the reader's clock.
+    """
+
+    recorded_ms: int
+    amounts: tuple[float, ...]
+
+    def replay(self, into: SlidingSum) -> None:
+        """Count each amount at the latest time that it may have had."""
+        for age, amount in reversed(list(enumerate(self.amounts))):
+            if amount:
+                into.add(amount, self.recorded_ms - age * PROFILE_STEP_MS)
+
+
 @dataclasses.dataclass
 class _Peer:
     heard_ms: int
     by_key: dict[str, SlidingSum] = dataclasses.field(default_factory=dict)
-    per_ms_by_key: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def expected(self, key: str, now_ms: int) -> float:
         """Estimate what the peer has counted since it was heard."""
-        since_ms = min(now_ms - self.heard_ms, MAX_LAG_MS)
-        return self.per_ms_by_key.get(key, 0.0) * since_ms
+        counted = self.by_key.get(key)
+        if counted is None:
+            return 0.0
+        lag_ms = min(now_ms - self.heard_ms - TELL_MS, MAX_LAG_MS)
+        if lag_ms <= 0:
+            return 0.0
+        recent = counted.since(self.heard_ms - RATE_SPAN_MS)
+        return recent * lag_ms / RATE_SPAN_MS
 
 
 class FleetWindow:
@@ -79,24 +126,48 @@
         self._peer_by_id: dict[str, _Peer] = {}
         self._members: frozenset[str] = frozenset()
         self._knows_earlier = False
-        self._part_by_key: dict[str, float] = {}
+        self._profile_by_key: dict[str, Profile] = {}
         self._earlier: dict[str, SlidingSum] = {}
+        self._told_total_by_key: dict[str, float] = {}
         self._told_first: dict[str, SlidingSum] = {}
 
     def set_members(self, others: typing.Iterable[str]) -> None:
         """Name the other instances that may be admitting."""
         self._members = frozenset(others)
 
-    def set_earlier(self, part_by_key: typing.Mapping[str, float]) -> None:
-        """Name keys that were near their limit before this process.
+    def set_earlier(
+        self, profile_by_key: typing.Mapping[str, Profile]
+    ) -> None:
+        """Tell what keys near their limit had used before this process.
 
         Only the first call counts: what comes later is of this process.
         """
         if not self._knows_earlier:
             self._knows_earlier = True
-            self._part_by_key = dict(part_by_key)
+            self._profile_by_key = dict(profile_by_key)
             self._earlier.clear()
 
+    def profile(self, key: str, now_ms: int) -> Profile:
+        """Return what all instances have counted within the window."""
+        steps = self._window_ms // PROFILE_STEP_MS
+        starts = [now_ms - n * PROFILE_STEP_MS for n in range(steps + 1)]
+        sums = [
+            sum(one.since(start_ms) for one in self._sums(key))
+            for start_ms in starts
+        ]
+        return Profile(
+            now_ms,
+            tuple(
+                later - earlier for earlier, later in itertools.pairwise(sums)
+            ),
+        )
+
+    def _sums(self, key: str) -> list[SlidingSum]:
+        """Return this instance's sum, its peers' and the estimated one."""
+        sums = [self._own.get(key), self._earlier.get(key)]
+        sums += [peer.by_key.get(key) for peer in self._peer_by_id.values()]
+        return [one for one in sums if one is not None]
+
     def export(
         self, now_ms: int, since_ms: int
     ) -> dict[str, tuple[float, float]]:
@@ -122,9 +193,7 @@
         started with this one tells is new.
         """
         known = self._peer_by_id.setdefault(peer, _Peer(now_ms))
-        elapsed_ms = max(BUCKET_MS, now_ms - known.heard_ms)
         known.heard_ms = now_ms
-        known.per_ms_by_key.clear()
         for key, (total, recent) in count_by_key.items():
             counted = known.by_key.get(key)
             if counted is None:
@@ -135,7 +204,6 @@
                     self._note_first(key, recent, now_ms)
             growth = total - counted.total
             if growth:
-                known.per_ms_by_key[key] = max(0.0, growth / elapsed_ms)
                 counted.add(growth, now_ms)
 
     def _note_first(self, key: str, amount: float, now_ms: int) -> None:
@@ -187,6 +255,56 @@
         """Tell whether a key's use is so high that peers must hear often."""
         return self.used(key, now_ms) > limit * PRESSED_PART
 
+    def is_news_due(self, key: str, limit: float, now_ms: int) -> bool:
+        """Tell whether this instance's untold count could matter to peers.
+
+        The untold counts of all instances together stay below a small part
+        of the limit.
+        """
+        counted = self._own.get(key)
+        if counted is None:
+            return False
+        untold = counted.total - self._told_total_by_key.get(key, 0.0)
+        is_pressed = self.is_pressed(key, limit, now_ms)
+        part = PRESSED_UNTOLD_PART if is_pressed else UNTOLD_PART
+        return untold > limit * part / (len(self._members) + 1)
+
+    def note_told(self) -> None:
+        """Record that every peer has been told this instance's counts."""
+        self._told_total_by_key = {
+            key: counted.total for key, counted in self._own.items()
+        }
+
+    def is_settled(self, now_ms: int) -> bool:
+        """Tell whether no use is estimated: all members are heard."""
+        return now_ms - self._started_ms > self._window_ms and all(
+            self._is_fresh(member, now_ms, PRESSED_FRESH_MS)
+            for member in self._members
+        )
+
+    def wait_ms(
+        self, key: str, amount: float, limit: float, now_ms: int
+    ) -> int:
+        """Return after how long an amount fits if nothing else is taken.
+
+        Never longer than the window; estimates of silent members are taken
+        to stay.
+        """
+        excess = self.used(key, now_ms, limit) + amount
+        excess -= limit * self._headroom(now_ms)
+        leaving = sorted(
+            itertools.chain.from_iterable(
+                one.leaving() for one in self._sums(key)
+            )
+        )
+        for at_ms, leaves in leaving:
+            if excess <= 0:
+                break
+            excess -= leaves
+            if excess <= 0:
+                return max(0, int(at_ms) - now_ms)
+        return 0 if excess <= 0 else self._window_ms
+
     def take(self, key: str, amount: float, limit: float, now_ms: int) -> bool:
         """Count an amount if the limit allows it on all instances."""
         if not self.fits(key, amount, limit, now_ms):
@@ -196,9 +314,13 @@
 
     def fits(self, key: str, amount: float, limit: float, now_ms: int) -> bool:
         """Tell whether the limit allows an amount on all instances."""
-        is_new = now_ms - self._started_ms <= self._window_ms
-        part = NEW_HEADROOM if is_new else HEADROOM
-        return self.used(key, now_ms, limit) + amount <= limit * part
+        used = self.used(key, now_ms, limit)
+        return used + amount <= limit * self._headroom(now_ms)
+
+    def _headroom(self, now_ms: int) -> float:
+        if now_ms - self._started_ms <= self._window_ms:
+            return NEW_HEADROOM
+        return SETTLED_HEADROOM if self.is_settled(now_ms) else HEADROOM
 
     def _unseen(self, key: str, limit: float, now_ms: int) -> float:
         """Estimate what ran before this start and no peer has told."""
@@ -215,14 +337,18 @@
     def _estimate_earlier(self, key: str, limit: float) -> SlidingSum:
         """Return what the fleet may have counted before this start.
 
-        A key that was near its limit may have used it a moment before;
-        another one is taken to have used a part of it evenly.
+        The use of a key that was near its limit is known up to a moment
+        before, and may have grown since; another one is taken to have used a
+        part of its limit evenly.
         """
         counted = SlidingSum(self._window_ms)
-        near = self._part_by_key.get(key)
-        if near is not None:
-            part = min(1.0, near + GROWTH_PART)
-            counted.add(part * limit, self._started_ms)
+        profile = self._profile_by_key.get(key)
+        if profile is not None:
+            profile.replay(counted)
+            known = counted.sum(self._started_ms)
+            unseen_ms = max(0, self._started_ms - profile.recorded_ms)
+            growth = limit * GROWTH_PER_S * unseen_ms / MS_PER_S
+            counted.add(max(0.0, min(growth, limit - known)), self._started_ms)
             return counted
         steps = self._window_ms // BUCKET_MS
         for step in range(steps, 0, -1):
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -188,7 +188,8 @@
     def _answer(
         self, body: dict[str, typing.Any], status: int = 200
     ) -> web.Response:
-        body |= {"ver": self.version, "now_ms": 1}
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        body |= {"ver": self.version, "now_ms": now_ms}
         return web.Response(
             status=status,
             body=orjson.dumps(body),
