Leave engines that are down out of plans, and ask after a failed order

Change: UNREACHED pauses the engine like any target that is down; each failed order makes the holder ask the engine what it holds. Test: test_an_engine_that_is_down_is_left_out failed before.

--- a/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
@@ -119,6 +119,7 @@
     ALREADY_HOLDS = "already_holds"
     CONFLICT = "conflict"
     REFUSED = "refused"
+    UNREACHED = "unreached"
     UNKNOWN = "unknown"
 
 
@@ -127,7 +128,11 @@
 
     @abc.abstractmethod
     async def order(self, target: model.Target, order: Order) -> OrderOutcome:
-        """Send an order; a lost answer gives UNKNOWN."""
+        """Send an order; a lost answer gives UNKNOWN.
+
+        UNREACHED tells that no connection could be made, so that the order
+        was not taken.
+        """
 
     @abc.abstractmethod
     async def report(self, target: model.Target) -> model.EngineReport | None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -196,7 +196,8 @@
                     residence,
                     "a request needs it",
                 )
-            except OrderFailed:
+            except OrderFailed as error:
+                self._note_failed(record, control, residence, error)
                 return False
             control.residents.add(residence)
             control.used_at_ms[residence] = self._state.clock.now_ms()
@@ -454,17 +455,31 @@
                     control.residents.add((name, ""))
                 control.loaded_at_ms[name] = self._state.clock.now_ms()
         except OrderFailed as error:
-            LOG.info(
-                "placing: order failed",
-                target=record.target.id,
-                model=name,
-                reason=str(error),
-            )
+            self._note_failed(record, control, (name, ""), error)
         finally:
             control.loading = ""
             control.load_ms = 0
             self._publish()
 
+    def _note_failed(
+        self,
+        record: target_book.TargetRecord,
+        control: Control,
+        residence: model.Residence,
+        error: OrderFailed,
+    ) -> None:
+        """Ask an engine what it holds, as an order to it has failed."""
+        LOG.info(
+            "placing: order failed",
+            target=record.target.id,
+            model=residence[0],
+            adapter=residence[1],
+            reason=str(error),
+        )
+        if control.is_known and self.may_order:
+            control.is_known = False
+            self._start(self._learn(record.target, control, REPORT_MS))
+
     def _note_begun(
         self,
         control: Control,
@@ -515,19 +530,32 @@
             if outcome is interfaces.OrderOutcome.ALREADY_HOLDS:
                 control.orders += 1 if residence[1] else 0
                 return outcome
+            if outcome is interfaces.OrderOutcome.UNREACHED:
+                self._note_unreached(target)
+                raise OrderFailed("not reached")
             if outcome is interfaces.OrderOutcome.REFUSED:
                 raise OrderFailed("refused")
             if outcome is interfaces.OrderOutcome.CONFLICT:
-                await self._state.clock.sleep_ms(REPORT_MS)
-                await self._learn(target, control)
                 raise OrderFailed("the engine has had other orders")
             await self._state.clock.sleep_ms(RESEND_MS)
         raise OrderFailed("no answer")
 
-    async def _learn(self, target: model.Target, control: Control) -> None:
-        """Take an engine's own report once it is idle."""
+    def _note_unreached(self, target: model.Target) -> None:
+        """Leave an engine that is down out of plans for a while."""
+        record = self._state.book.by_id.get(target.id)
+        if record is not None:
+            record.note_unreached(self._state.clock.now_ms())
+
+    async def _learn(
+        self, target: model.Target, control: Control, lag_ms: int = 0
+    ) -> None:
+        """Take an engine's own report once it is idle.
+
+        ``lag_ms`` is the age that a report may have.
+        """
         control.is_known = False
         asked_ms = self._state.clock.now_ms()
+        await self._state.clock.sleep_ms(lag_ms)
         while not control.is_known:
             current = self._state.book.by_id.get(target.id)
             if current is None or current.target.born_ms != control.born_ms:
@@ -600,7 +628,6 @@
                 control.in_host_memory = report.in_host_memory
                 control.on_disk = report.on_disk
                 return
-        await self._learn(record.target, control)
         raise OrderFailed("not carried out in time")
 
     def _finish(
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -443,6 +443,22 @@
 
         play(scene, plain=0, engines=1)
 
+    def test_an_engine_that_is_down_is_left_out(self) -> None:
+        """The model is loaded at another one, which is asked but once."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            await standins.wait_until(lambda: bed.replicas[1].reports > 0)
+            await bed.replicas[0].stop()
+            async with session.post(
+                bed.url("/chat/a"), headers=headers("a1", **ask("m3"))
+            ) as answer:
+                assert answer.status == 200
+                assert await answer.text() == "e1"
+
+        play(scene, plain=0, engines=2)
+
     def test_only_engines_are_asked_for_reports(self) -> None:
         """A plain service has none; each call would take a slot there."""
 
