Place urgent models before patient ones, and keep the copies they need

Engines that came back empty loaded patient models first although they kept the hot weights on disk; patient models took needed copies of urgent ones; engines under order that could make no room were awaited again and again; and work that only fades counted as demand for ever. Change: absent urgent models, then overloaded ones, then patient ones; the latter use at most half of the engines while an overloaded model lacks copies, and never a copy that is needed; a model may come from the store to two engines at once; engines with much urgent work are chosen last; models nobody has asked for yet are replaced last; urgency is remembered. Tests: TestUrgentFirst and an engine that cannot make room, all failed before; test_demand no longer gets the urgency from waiting(), which is asked apart.

--- a/packages/cardamom-gateway/src/cardamom_gateway/demand.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/demand.py
@@ -106,6 +106,8 @@
         self._clock = clock
         self._tracks: dict[tuple[str, str], _Track] = {}
         self._latest: dict[str, tuple[int, dict[str, ModelNews]]] = {}
+        self._seen: set[str] = set()
+        self._urgent: set[str] = set()
 
     def heard(
         self, incarnation: str, news: typing.Mapping[str, ModelNews]
@@ -113,6 +115,8 @@
         """Take what an instance tells; models it leaves out are idle."""
         now_ms = self._clock.now_ms()
         self._latest[incarnation] = (now_ms, dict(news))
+        self._seen.update(news)
+        self._urgent.update(n for n, told in news.items() if told.is_urgent)
         for name, told in news.items():
             track = self._tracks.get((incarnation, name))
             if track is None:
@@ -140,8 +144,8 @@
             for track in tracks
         )
 
-    def waiting(self, name: str, max_age_ms: int) -> tuple[int, int, bool]:
-        """Return how many wait, the longest wait, and the urgency."""
+    def waiting(self, name: str, max_age_ms: int) -> tuple[int, int]:
+        """Return how many wait, and the longest wait."""
         now_ms = self._clock.now_ms()
         told = [
             news[name]
@@ -151,9 +155,12 @@
         return (
             sum(one.waiting for one in told),
             max((one.oldest_wait_ms for one in told), default=0),
-            any(one.is_urgent for one in told),
         )
 
-    def names(self) -> set[str]:
-        """Return every model that was asked for."""
-        return {name for _, name in self._tracks}
+    def is_seen(self, name: str) -> bool:
+        """Tell whether any instance has told of requests for a model."""
+        return name in self._seen
+
+    def is_urgent(self, name: str) -> bool:
+        """Tell whether a model has been asked for with a short objective."""
+        return name in self._urgent
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -400,13 +400,14 @@
 
     def _demand(self, name: str) -> tiering.Demand:
         view = self._state.demand_view
-        waiting, oldest_ms, is_urgent = view.waiting(name, DEMAND_AGE_MS)
+        waiting, oldest_ms = view.waiting(name, DEMAND_AGE_MS)
         return tiering.Demand(
             view.work_per_s(name),
             waiting,
             oldest_ms,
-            is_urgent,
+            view.is_urgent(name),
             name in self._expected,
+            view.is_seen(name),
         )
 
     def _assume_store_loads(self) -> None:
--- a/packages/cardamom-policy/src/cardamom_policy/tiering.py
+++ b/packages/cardamom-policy/src/cardamom_policy/tiering.py
@@ -4,7 +4,8 @@
 rising order of time; only the last counts against the store's rate.  Urgent
 models, whose objective is shorter than a load, hold most places in
 proportion to their work.  Patient models, whose requests can wait for a load,
-share one place on each engine, which is changed on demand.
+share one place on each engine, which is changed on demand; their orders
+leave most engines free while an urgent model lacks copies.
 
 It answers for demand that moves between models within seconds, and for many
 rare models that are asked for at once.
@@ -24,6 +25,11 @@
 IDLE_STORE_PART = 0.7  # of the engines, at once, before traffic
 EXPECTED_MS = 800.0  # a model that is expected to be asked for soon
 STORE_LOAD_WORK = 700.0  # ms a second; a copy above it is overloaded
+IDLE_WORK = 5.0  # ms a second; below it nobody asks, it only fades
+PATIENT_ORDER_PART = 0.5  # of the engines, while urgent models lack copies
+STORE_LOADS_OF_MODEL = 2  # at once; a model that rises may need several
+ENGINE_LOAD_COST = 0.3  # ms for each ms a second of work on an engine
+UNSEEN_MS = 500.0  # a model that nobody has asked for yet may be urgent
 UNLOAD_MS = 100.0  # an order and the notice of its end
 SETTLE_MS = 1_500  # a model that was loaded stays at least so long
 REUSE_MS = 600  # a model that was used so lately is replaced last
@@ -64,7 +70,8 @@
 
     ``work_per_s`` is in replica milliseconds a second; ``waiting`` counts
     requests that wait for the model to be loaded anywhere; ``is_expected``
-    tells that the platform has placed it on several engines itself.
+    tells that the platform has placed it on several engines itself, and
+    ``is_seen`` that it has been asked for at any time.
     """
 
     work_per_s: float = 0.0
@@ -72,6 +79,12 @@
     oldest_wait_ms: int = 0
     is_urgent: bool = False
     is_expected: bool = False
+    is_seen: bool = True
+
+    @property
+    def is_active(self) -> bool:
+        """Tell whether callers ask for the model now."""
+        return self.work_per_s >= IDLE_WORK or self.waiting > 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -128,8 +141,9 @@
     """Return at most one move for each free engine, most urgent first."""
     draft = _Draft(situation)
     draft.load_reserved()
-    draft.serve_waiting()
+    draft.serve_waiting(is_urgent=True)
     draft.spread_urgent()
+    draft.serve_waiting(is_urgent=False)
     if situation.is_settled:
         draft.fill_free_memory()
         draft.reach_every_model()
@@ -144,7 +158,7 @@
     work = {
         model: demand.work_per_s
         for model, demand in situation.demand_by_model.items()
-        if demand.is_urgent and demand.work_per_s > 0
+        if demand.is_urgent and demand.work_per_s >= IDLE_WORK
     }
     total = sum(work.values())
     if not total or not situation.engines:
@@ -154,7 +168,7 @@
     patient = [
         model
         for model, demand in situation.demand_by_model.items()
-        if not demand.is_urgent and demand.work_per_s > 0
+        if not demand.is_urgent and demand.work_per_s >= IDLE_WORK
     ]
     places -= min(
         len(situation.engines), math.ceil(len(patient) * PATIENT_PLACES)
@@ -197,26 +211,56 @@
             else:
                 del self._free[engine.id]
 
-    def serve_waiting(self) -> None:
-        """Load models that requests wait for and no engine holds."""
+    def serve_waiting(self, is_urgent: bool) -> None:
+        """Load models that requests wait for and no engine holds.
+
+        Patient models leave most engines to urgent ones that lack copies.
+        """
         waiting = sorted(
             (
-                (not demand.is_urgent, -demand.oldest_wait_ms, model)
+                (-demand.oldest_wait_ms, model)
                 for model, demand in self.situation.demand_by_model.items()
-                if demand.waiting and not self._copies.get(model)
+                if demand.waiting
+                and demand.is_urgent is is_urgent
+                and not self._copies.get(model)
             )
         )
-        for _, _, model in waiting:
-            self._bring(model, "requests wait for it", is_needed=True)
+        for _, model in waiting:
+            if is_urgent or not self._must_leave_engines():
+                self._bring(model, "requests wait for it", is_needed=True)
+
+    def _must_leave_engines(self) -> bool:
+        """Tell whether patient models occupy enough of the engines."""
+        if not any(
+            self._work_per_copy(model) > STORE_LOAD_WORK
+            for model in self._lacking()
+        ):
+            return False
+        engines = self.situation.engines
+        moving = {
+            move.engine: move.in_favour_of or move.model for move in self.moves
+        }
+        occupied = sum(
+            bool(model) and not self.situation.demand(model).is_urgent
+            for model in (
+                moving.get(e.id) or e.loading or e.reserved_for
+                for e in engines
+            )
+        )
+        return occupied >= max(1, int(len(engines) * PATIENT_ORDER_PART))
+
+    def _lacking(self) -> typing.Iterator[str]:
+        """Yield urgent models that have less than their part of places."""
+        return (
+            model
+            for model, wanted in self._wanted.items()
+            if self._copies.get(model, 0) < wanted
+        )
 
     def spread_urgent(self) -> None:
         """Add copies of urgent models that have less than their part."""
         lacking = sorted(
-            (
-                (-self._work_per_copy(model), model)
-                for model, wanted in self._wanted.items()
-                if self._copies.get(model, 0) < wanted
-            )
+            (-self._work_per_copy(model), model) for model in self._lacking()
         )
         for _, model in lacking:
             self._bring(model, "its copies carry too much", is_needed=False)
@@ -241,7 +285,7 @@
         Later such a load would hold up every other order to its engine.
         """
         demands = self.situation.demand_by_model.values()
-        if any(demand.work_per_s > 0 for demand in demands):
+        if any(demand.is_active for demand in demands):
             return
         for model in self.situation.size_by_model:
             if not self._copies.get(model) and not self._is_kept(model):
@@ -264,7 +308,7 @@
         if not options:
             return
         cost, _, engine, victim = min(options, key=lambda option: option[:2])
-        if self._busy_home_ms(model) < cost:
+        if self._busy_home_ms(model, is_needed) < cost:
             return
         if victim:
             del self._free[engine.id]
@@ -283,11 +327,11 @@
             return
         self._load(engine, model, reason)
 
-    def _busy_home_ms(self, model: str) -> float:
+    def _busy_home_ms(self, model: str, is_needed: bool) -> float:
         """Return when an engine under an order could have the model.
 
-        Only engines that keep the weights count; a load from the store would
-        also take the place of other weights on a disk.
+        Only engines that keep the weights and can make room count; a load
+        from the store would also take the place of other weights on a disk.
         """
         return min(
             (
@@ -297,19 +341,31 @@
                 and engine.is_known
                 and model not in engine.by_model
                 and not self._is_from_store(engine, model)
+                and self._can_make_room(engine, model, is_needed)
             ),
             default=math.inf,
         )
 
+    def _can_make_room(
+        self, engine: Engine, model: str, is_needed: bool
+    ) -> bool:
+        return self._fits(engine, model) or any(
+            self._keep_ms(victim, resident, model, is_needed) is not None
+            and self._fits(engine, model, victim)
+            for victim, resident in engine.by_model.items()
+        )
+
     def _ways(
         self, engine: Engine, model: str, is_needed: bool
     ) -> typing.Iterator[tuple[float, str]]:
         load_ms = self._load_ms(engine, model)
+        if self.situation.demand(model).is_urgent:
+            load_ms += ENGINE_LOAD_COST * self._engine_work(engine)
         if self._is_from_store(engine, model):
             is_overload = self._work_per_copy(model) > STORE_LOAD_WORK
             if self._store_loads <= 0 or not (is_needed or is_overload):
                 return
-            if self._from_store_elsewhere(model):
+            if self._loads_from_store(model) >= self._most_store_loads(model):
                 return
             if self._is_store_busy(model):
                 return
@@ -333,17 +389,20 @@
         cost = UNLOAD_MS + 150.0 * resident.running
         if resident.used_ms_ago < REUSE_MS:
             cost += 400.0
-        if demand.is_expected and not demand.work_per_s:
+        if demand.is_expected and not demand.is_active:
             cost += EXPECTED_MS
-        if demand.is_urgent and demand.work_per_s > 0:
+        if not demand.is_seen and copies <= 1:
+            cost += UNSEEN_MS
+        if demand.is_urgent and demand.is_active:
             if self._ready[victim] <= 1 or copies <= 1:
                 return None
-            if surplus <= 0 and not is_needed:
+            is_patient = not self.situation.demand(model).is_urgent
+            if surplus <= 0 and (is_patient or not is_needed):
                 return None
             if not is_needed and not self._is_worth(victim, model):
                 return None
             return cost + (300.0 if surplus > 0 else 1_500.0)
-        if not is_needed and demand.work_per_s > 0 and copies <= 1:
+        if not is_needed and demand.is_active and copies <= 1:
             return self._keep_patient(model, cost)
         return cost + demand.work_per_s / max(1, copies)
 
@@ -390,20 +449,33 @@
         )
         engines = len(self.situation.engines)
         is_idle = not any(
-            demand.work_per_s > 0
+            demand.is_active
             for demand in self.situation.demand_by_model.values()
         )
         part = IDLE_STORE_PART if is_idle else PATIENT_STORE_PART
         return loading >= max(1, int(engines * part))
 
-    def _from_store_elsewhere(self, model: str) -> bool:
-        """Tell whether the store already sends the model to an engine."""
-        return any(
+    def _loads_from_store(self, model: str) -> int:
+        """Return to how many engines the store sends a model."""
+        return sum(
             model in (engine.loading, engine.reserved_for)
             and self._is_from_store(engine, model)
             for engine in self.situation.engines
         )
 
+    def _most_store_loads(self, model: str) -> int:
+        """Return to how many engines the store may send a model at once."""
+        lacks = self._wanted.get(model, 1) - self._copies.get(model, 0)
+        return max(1, min(STORE_LOADS_OF_MODEL, lacks))
+
+    def _engine_work(self, engine: Engine) -> float:
+        """Return the urgent work that an engine should carry."""
+        return sum(
+            self._work_per_copy(name)
+            for name in engine.by_model
+            if self.situation.demand(name).is_urgent
+        )
+
     def _load_ms(self, engine: Engine, model: str) -> float:
         size = self.situation.size_by_model[model]
         if model in engine.in_host_memory:
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -24,6 +24,19 @@
         clock.step(5_000)
         assert view.work_per_s("m1") < 50.0
 
+    def test_urgency_is_remembered(self) -> None:
+        """A model that falls silent may be asked for again at once."""
+        clock = clocks.SteppedClock(1_000)
+        meter = demand.DemandMeter(clock)
+        view = demand.DemandView(clock)
+        meter.note("m1", 2_200, 20, 800)
+        meter.note("m2", 2_200, 20, 5_000)
+        view.heard("a@1", meter.news(0))
+        clock.step(60_000)
+        view.heard("a@1", {})
+        assert view.is_urgent("m1") and not view.is_urgent("m2")
+        assert view.is_seen("m2") and not view.is_seen("m3")
+
     def test_waiting_requests_are_told_with_their_age(self) -> None:
         """And no longer once they have left."""
         clock = clocks.SteppedClock(1_000)
@@ -34,9 +47,9 @@
             clock.step(300)
             told = meter.news(0)
             view.heard("a@1", told)
-            assert view.waiting("m1", 1_000) == (1, 300, False)
+            assert view.waiting("m1", 1_000) == (1, 300)
         view.heard("a@1", meter.news(0))
-        assert view.waiting("m1", 1_000) == (0, 0, False)
+        assert view.waiting("m1", 1_000) == (0, 0)
 
     def test_the_form_between_instances(self) -> None:
         """What is told comes back as it was."""
--- a/tests/policy/test_tiering.py
+++ b/tests/policy/test_tiering.py
@@ -103,6 +103,29 @@
         )
         assert moves == []
 
+    def test_an_engine_that_cannot_make_room_is_not_awaited(self) -> None:
+        """Its models are needed themselves, whenever its order ends."""
+        busy = tiering.Demand(500.0, is_urgent=True)
+        moves = tiering.plan(
+            situation(
+                [
+                    engine("a", ["m0", "m1", "m2"]),
+                    engine(
+                        "b",
+                        ["m6", "m7", "m8"],
+                        ["m5"],
+                        is_free=False,
+                        busy_ms=900,
+                    ),
+                ],
+                m5=tiering.Demand(900.0, is_urgent=True, waiting=1),
+                m6=busy,
+                m7=busy,
+                m8=busy,
+            )
+        )
+        assert [(m.engine, m.in_favour_of) for m in moves] == [("a", "m5")]
+
     def test_an_engine_that_is_busy_for_long_is_not_awaited(self) -> None:
         """Then the store is faster."""
         far = engine(
@@ -194,6 +217,88 @@
         assert moves == []
 
 
+class TestUrgentFirst:
+    """Engines that come back while urgent models carry too much."""
+
+    def test_an_empty_engine_takes_the_overloaded_model(self) -> None:
+        """Patient requests have time; they wait for another engine."""
+        hot = tiering.Demand(3_000.0, is_urgent=True)
+        moves = tiering.plan(
+            situation(
+                [
+                    engine("a", ["m0", "m1", "m2"], ["m0"]),
+                    engine("b", [], ["m0", "m5"]),
+                ],
+                m0=hot,
+                m5=WAITED_FOR,
+            )
+        )
+        assert [(m.engine, m.model) for m in moves][0] == ("b", "m0")
+
+    def test_patient_models_leave_needed_copies(self) -> None:
+        """A copy that urgent requests need is not given to patient ones."""
+        hot = tiering.Demand(3_000.0, is_urgent=True)
+        small = {"memory_mb": 75.0}
+        moves = tiering.plan(
+            situation(
+                [
+                    engine("a", ["m0"], ["m5"], **small),
+                    engine("b", ["m0"], ["m5"], **small),
+                    engine("c", ["m6"], **small),
+                ],
+                m0=hot,
+                m5=WAITED_FOR,
+                m6=tiering.Demand(50.0),
+            )
+        )
+        assert [move.engine for move in moves] == ["c"]
+
+    def test_patient_models_occupy_a_part_of_the_engines(self) -> None:
+        """While an urgent model lacks copies that none can take yet."""
+        hot = tiering.Demand(3_000.0, is_urgent=True)
+        engines = [
+            engine(f"e{n}", ["m9", "m10", "m11"], [f"m{n + 1}"])
+            for n in range(6)
+        ]
+        moves = tiering.plan(
+            situation(
+                engines,
+                store_loads=0,
+                m0=hot,
+                **{f"m{n + 1}": WAITED_FOR for n in range(6)},
+            )
+        )
+        assert len(moves) == 3
+
+    def test_a_model_that_nobody_has_asked_for_goes_last(self) -> None:
+        """It may be urgent, and its load would take seconds."""
+        unseen = tiering.Demand(is_seen=False)
+        moves = tiering.plan(
+            situation(
+                [engine("a", ["m0", "m1", "m2"], ["m5"])],
+                m0=unseen,
+                m1=tiering.Demand(),
+                m2=unseen,
+                m5=WAITED_FOR,
+            )
+        )
+        assert [move.model for move in moves] == ["m1"]
+
+    def test_demand_that_only_fades_keeps_no_place(self) -> None:
+        """Work halves again and again and never becomes nothing."""
+        faded = tiering.Demand(0.01, is_urgent=True)
+        moves = tiering.plan(
+            situation(
+                [engine("a", ["m0", "m1", "m2"], ["m5"])],
+                m0=faded,
+                m1=faded,
+                m2=faded,
+                m5=WAITED_FOR,
+            )
+        )
+        assert len(moves) == 1
+
+
 class TestBeforeTraffic:
     """What is done while nobody asks."""
 
