Let a stopping holder order to its end, and hand engines over one by one

A process could also still run at the end of the grace time, as farewells to a silent store took up to 3 s. Change: a stopping holder goes on until its requests are finished, then leaves in the lease's row when each engine had its last order and when loads from the store began, on the store's clock; its own restart takes the lease first and waits for nothing; another one waits only for engines that had an order lately. Orders end a second before a lease does, so that the wait after a lost holder is 1.9 s, not 3.3 s. A contender that could not read the row watches it anew. Farewells are bounded. Ruled out: a shorter lease (a slow store answers after 0.3 s, calls are priced); leases by data centre (the weight store's rate is one for all).

--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -45,7 +45,9 @@
 MEMBER_SILENT_MS = 600_000  # far longer than a cut or a replacement takes
 WATCH_MS = 200  # period of checks on silent targets
 CLOSE_IDLE_MS = 2_600  # the balancer asks for readiness every second, twice
-STOP_MARGIN_MS = 900  # of the grace period, left for closing
+STOP_MARGIN_MS = 700  # of the grace period, left for closing
+FAREWELL_MS = 600  # for the last writes to the store
+CLOSE_TIMEOUT_S = 0.1  # for handlers, whose requests have been waited for
 KEEPALIVE_S = 75.0  # idle callers' connections stay open for longer
 CONFIG_LAG_MS = 300  # a peer that knows a later configuration is asked
 TARGETS_LAG_MS = 1_100  # the feed of targets itself lags by up to a second
@@ -107,9 +109,14 @@
             order_lease.LEASE_NAME,
             self.settings.instance,
             order_lease.LEASE_TTL_MS,
+            order_lease.RETURN_MS,
         )
         self.placer = placing.Placer(
-            state, self._engines, self.lease, self.exchange.publish
+            state,
+            self._engines,
+            self.lease,
+            self.exchange.publish,
+            lambda: self.fleet.store_ms(),
         )
         self.keeper = order_lease.OrderLease(
             state,
@@ -210,7 +217,7 @@
             max_line_size=1 << 16,
             max_field_size=1 << 16,
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_TIMEOUT_S)
         await runner.setup()
         site = web.TCPSite(
             runner, address.host, address.port, reuse_address=True
@@ -503,22 +510,37 @@
             self._stop_task = asyncio.create_task(self._stop())
 
     async def _stop(self) -> None:
-        """Turn unready, finish what runs, hand the lease over, close."""
+        """Turn unready, finish what runs, hand the lease over, close.
+
+        Orders go on until the end, as the engines have no other holder.
+        """
         started_ms = self.clock.now_ms()
         LOG.info("gateway: stopping", in_flight=self.forwarder.in_flight)
-        await self.placer.stop()
-        await self.lease.release()
         await self.clock.sleep_ms(CLOSE_IDLE_MS)
         self.state.is_closing = True
         self.state.book.notify()
         end_ms = started_ms + self.settings.grace_ms - STOP_MARGIN_MS
-        while self.forwarder.in_flight and self.clock.now_ms() < end_ms:
-            await self.clock.sleep_ms(50)
-        await self._table.commit({}, {}, [MEMBER_PREFIX + self._name])
+        await self._finish_requests(end_ms - FAREWELL_MS)
+        await asyncio.gather(self._take_leave(), self._finish_requests(end_ms))
         await self.close()
         LOG.info("gateway: stopped", in_flight=self.forwarder.in_flight)
         self.stopped.set()
 
+    async def _finish_requests(self, end_ms: int) -> None:
+        """Wait until no request runs, or for the end."""
+        while self.forwarder.in_flight and self.clock.now_ms() < end_ms:
+            await self.clock.sleep_ms(50)
+
+    async def _take_leave(self) -> None:
+        """Give up the lease and this instance's row, if the store answers."""
+        await self.placer.stop()
+        try:
+            async with asyncio.timeout(FAREWELL_MS / 1000):
+                await self.lease.release(self.placer.handover())
+                await self._table.commit({}, {}, [MEMBER_PREFIX + self._name])
+        except TimeoutError:
+            LOG.warning("gateway: the store did not take the leave in time")
+
     async def close(self) -> None:
         """Stop every task and close every connection."""
         for runner in reversed(self._runners):  # callers first
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
@@ -15,6 +15,7 @@
 LEASE_RENEW_MS = 1_300  # three renewals within a lease
 LEASE_RETRY_MS = 300  # while the lease is about to be free
 SUCCESSOR_LOOK_MS = 1_500  # between a successor's looks at the lease
+RETURN_MS = 1_500  # in which a process that stopped as planned is back
 
 
 class OrderLease:
@@ -40,7 +41,7 @@
         """Renew the lease, or contend for it when it is not renewed."""
         while True:
             await self._clock.sleep_ms(LEASE_RETRY_MS)
-            if self._state.is_stopping:
+            if self._state.is_stopping and not self._lease.fence():
                 continue
             if (
                 not self._is_store_reached()
@@ -52,7 +53,9 @@
                 continue
             state = await self._lease.contend()
             if state is leases.LeaseState.HELD:
-                self._placer.note_fence(self._lease.seen_holder)
+                self._placer.note_fence(
+                    self._lease.seen_holder, self._lease.seen_note
+                )
                 await self._clock.sleep_ms(LEASE_RENEW_MS - LEASE_RETRY_MS)
 
     def _should_contend(self) -> bool:
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -19,6 +19,7 @@
 from cardamom_kernel import leases
 from cardamom_policy import tiering
 
+from cardamom_gateway import handovers
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import state as state_module
@@ -36,6 +37,8 @@
 RESERVE_MS = 3_000  # an unload waits for the requests that run
 MAX_RESENDS = 20
 HANDOVER_SLACK_MS = 300  # on top of the lease, for orders on their way
+ORDER_MARGIN_MS = 1_000  # of a lease, in which no order is sent any more
+HANDOVER_ERROR_MS = 250  # of the store's clock while the store is slow
 DEMAND_AGE_MS = 1_600  # three periods of the slowest exchange
 
 Publish = typing.Callable[[], None]
@@ -83,8 +86,10 @@
         engines: interfaces.EngineControl,
         lease: leases.Lease,
         publish: Publish,
+        store_ms: typing.Callable[[], int],
     ) -> None:
         self._state = state
+        self._store_ms = store_ms
         self._engines = engines
         self._lease = lease
         self._publish = publish
@@ -92,6 +97,9 @@
         self._work: set[asyncio.Task[None]] = set()
         self._store_loads: collections.deque[int] = collections.deque()
         self._orders_from_ms: int = clocks.FOREVER_MS
+        self._orders_from_by_id: dict[ids.TargetId, int] = {}
+        self._ordered_ms_by_id: dict[ids.TargetId, int] = {}
+        self._is_over = False
         self._fence: int = 0
         self._expected: set[str] = set()
         self._new_engine_ms: int = clocks.NEVER_MS
@@ -99,12 +107,13 @@
     @property
     def may_order(self) -> bool:
         """Tell whether an order may be sent at this moment."""
-        fence = self._lease.fence()
+        fence, now_ms = self._lease.fence(), self._state.clock.now_ms()
         return (
             fence is not None
             and fence.number == self._fence
-            and self._state.clock.now_ms() >= self._orders_from_ms
-            and not self._state.is_stopping
+            and now_ms >= self._orders_from_ms
+            and now_ms < fence.until_ms - ORDER_MARGIN_MS
+            and not self._is_over
         )
 
     @property
@@ -112,30 +121,93 @@
         """Tell whether the lease is held here."""
         return self._lease.fence() is not None
 
-    def note_fence(self, previous_holder: str | None) -> None:
+    def note_fence(
+        self,
+        previous_holder: str | None,
+        note: typing.Mapping[str, typing.Any],
+    ) -> None:
         """Begin a term, after the orders of another holder are over.
 
-        An empty name is a holder that released the lease; None is none.
+        An empty name is a holder that released the lease and left a note;
+        None is none.
         """
         fence = self._lease.fence()
         if fence is None or fence.number == self._fence:
             return
-        own = self._state.settings.instance
-        wait_ms = 0
-        if previous_holder is not None:
-            self._assume_store_loads()
-        if previous_holder not in (None, own):
-            wait_ms = self._state.settings.lease_ms + HANDOVER_SLACK_MS
         self._fence = fence.number
-        self._orders_from_ms = fence.acquired_ms + wait_ms
         self._control_by_id.clear()
+        self._orders_from_by_id.clear()
+        try:
+            handover = handovers.decode(note, self._store_ms())
+        except handovers.MalformedHandover as error:
+            LOG.warning("placing: handover not usable", error=str(error))
+            handover = None
+        wait_ms = 0
+        if previous_holder == "" and handover is not None:
+            self._take_over(handover)
+        else:
+            wait_ms = self._expiry_wait_ms(previous_holder)
+        self._orders_from_ms = fence.acquired_ms + wait_ms
         LOG.info(
             "placing: holds the lease",
             fence=fence.number,
             previous=previous_holder,
+            released_by=handover.released_by if handover else "",
             orders_in_ms=wait_ms,
         )
 
+    def _expiry_wait_ms(self, previous_holder: str | None) -> int:
+        """Return the wait after a lease that ended without a handover."""
+        if previous_holder is None:
+            return 0
+        self._assume_store_loads()
+        if previous_holder == self._state.settings.instance:
+            return 0
+        passed_ms = 0
+        if previous_holder:
+            passed_ms = self._lease.drift_ms + ORDER_MARGIN_MS
+        turn_ms = self._state.settings.lease_ms + HANDOVER_SLACK_MS
+        return max(0, turn_ms - passed_ms)
+
+    def _take_over(self, handover: handovers.Handover) -> None:
+        """Note when the holder before had ordered each engine."""
+        now_ms = self._state.clock.now_ms()
+        loads = [now_ms - age_ms for age_ms in handover.store_load_ages_ms]
+        self._store_loads = collections.deque(
+            sorted({*self._store_loads, *loads})
+        )
+        if handover.released_by == self._state.settings.instance:
+            return
+        turn_ms = (
+            self._state.settings.lease_ms
+            + HANDOVER_SLACK_MS
+            + HANDOVER_ERROR_MS
+        )
+        self._orders_from_by_id = {
+            target_id: now_ms - age_ms + turn_ms
+            for target_id, age_ms in handover.order_age_ms_by_id.items()
+        }
+
+    def handover(self) -> dict[str, typing.Any]:
+        """Return the note for the next holder."""
+        now_ms = self._state.clock.now_ms()
+        return handovers.encode(
+            handovers.Handover(
+                self._state.settings.instance,
+                {
+                    target_id: now_ms - at_ms
+                    for target_id, at_ms in self._ordered_ms_by_id.items()
+                    if now_ms - at_ms <= handovers.MAX_AGE_MS
+                },
+                tuple(now_ms - at_ms for at_ms in self._store_loads),
+            ),
+            self._store_ms(),
+        )
+
+    def _may_order_to(self, target_id: ids.TargetId) -> bool:
+        from_ms = self._orders_from_by_id.get(target_id, clocks.NEVER_MS)
+        return self.may_order and self._state.clock.now_ms() >= from_ms
+
     def holdings(self) -> dict[ids.TargetId, target_book.Holdings]:
         """Return what engines hold, for peers; empty without the lease."""
         if not self.is_holder:
@@ -164,7 +236,8 @@
                     self._place(service)
 
     async def stop(self) -> None:
-        """End every order under way."""
+        """End every order under way; no other is sent."""
+        self._is_over = True
         for task in list(self._work):
             task.cancel()
         await asyncio.gather(*self._work, return_exceptions=True)
@@ -173,7 +246,7 @@
         self, target_id: ids.TargetId, name: str, adapter: str
     ) -> bool:
         """Load an adapter on an engine; tells whether it is there."""
-        if not self.may_order:
+        if not self._may_order_to(target_id):
             return False
         self._sync()
         record = self._state.book.by_id.get(target_id)
@@ -369,6 +442,10 @@
         for residence in in_use:
             control.used_at_ms[residence] = now_ms
             control.used_at_ms[(residence[0], "")] = now_ms
+        busy_until_ms = max(
+            control.busy_until_ms,
+            self._orders_from_by_id.get(record.target.id, clocks.NEVER_MS),
+        )
         running = collections.Counter[str]()
         for (name, _), count in in_use.items():
             running[name] += count
@@ -389,9 +466,10 @@
             on_disk=control.on_disk,
             is_free=not control.loading
             and control.is_known
-            and not control.lock.locked(),
+            and not control.lock.locked()
+            and self._may_order_to(record.target.id),
             is_known=control.is_known,
-            busy_ms=max(0, control.busy_until_ms - now_ms),
+            busy_ms=max(0, busy_until_ms - now_ms),
             loading=control.loading,
             reserved_for=control.reserved_for
             if control.reserved_until_ms > now_ms
@@ -502,8 +580,9 @@
     ) -> interfaces.OrderOutcome:
         """Send an order until its end is known; raises OrderFailed."""
         for _ in range(MAX_RESENDS):
-            if not self.may_order:
+            if not self._may_order_to(target.id):
                 raise OrderFailed("the lease is not held")
+            self._ordered_ms_by_id[target.id] = self._state.clock.now_ms()
             order = interfaces.Order(
                 kind=kind,
                 model=residence[0],
--- a/packages/cardamom-kernel/src/cardamom_kernel/leases.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/leases.py
@@ -40,7 +40,10 @@
     """One named lease, as one instance contends for it.
 
     ``seen_holder`` is the holder in the row that was read last, empty after
-    a release, None if there was no row.
+    a release, None if there was no row.  ``seen_note`` is what the holder
+    that released it left for its successor.  Within ``return_ms`` of a
+    release only the holder that gave it up takes it again, as a process that
+    is restarted does.
     """
 
     def __init__(
@@ -50,17 +53,20 @@
         name: str,
         holder: ids.InstanceId,
         ttl_ms: int = LEASE_TTL_MS,
+        return_ms: int = 0,
     ) -> None:
         self._table = table
         self._clock = clock
         self._key = f"lease/{name}"
         self._holder = holder
         self._ttl_ms = ttl_ms
+        self._return_ms = return_ms
         self._fence: Fence | None = None
         self._lock = asyncio.Lock()
         self._seen_version = -1
         self._seen_ms: int = clocks.NEVER_MS
         self.seen_holder: str | None = None
+        self.seen_note: tables.Body = {}
 
     def fence(self) -> Fence | None:
         """Return the fence if the lease is held at this very moment."""
@@ -69,6 +75,11 @@
             return None
         return fence
 
+    @property
+    def drift_ms(self) -> int:
+        """Return for how long a contender waits beyond a lease's end."""
+        return self._ttl_ms * DRIFT_PERCENT // 100
+
     def extend(self, duration_ms: int) -> None:
         """Trust a held lease for longer, from now.
 
@@ -90,24 +101,26 @@
         try:
             rows = await self._table.read_latest([self._key])
         except tables.TableUnavailable:
+            self._seen_version = -1  # the holder may be out of touch as well
             return LeaseState.UNREACHED
         row = rows.get(self._key)
         if row is not None and not self._may_write(row):
             return LeaseState.OTHER
         return await self._write(row)
 
-    async def release(self) -> None:
+    async def release(self, note: tables.Body | None = None) -> None:
         """Give the lease up, so that a successor need not wait for its end.
 
-        It ends a contention that is under way first: a lease won meanwhile
-        must not be released under the number of the one before.
+        The note is for the successor.  A contention that is under way ends
+        first: a lease won meanwhile must not be released under the number of
+        the one before.
         """
         async with self._lock:
             fence, self._fence = self._fence, None
             if fence is not None:
-                await self._give_up(fence.number)
+                await self._give_up(fence.number, note or {})
 
-    async def _give_up(self, number: int) -> None:
+    async def _give_up(self, number: int, note: tables.Body) -> None:
         try:
             rows = await self._table.read_latest([self._key])
         except tables.TableUnavailable:
@@ -116,7 +129,12 @@
         if row is None or row.body["holder"] != self._holder:
             return
         if row.body["number"] == number:
-            body = {"holder": "", "number": number}
+            body = {
+                "holder": "",
+                "number": number,
+                "released_by": self._holder,
+                "note": note,
+            }
             await self._table.commit(
                 {self._key: row.version},
                 {self._key: body},
@@ -125,14 +143,17 @@
     def _may_write(self, row: tables.Row) -> bool:
         now_ms = self._clock.now_ms()
         self.seen_holder = row.body["holder"]
+        self.seen_note = row.body.get("note", {})
         if row.version != self._seen_version:
             self._seen_version = row.version
             self._seen_ms = now_ms
-        if row.body["holder"] in ("", self._holder):
+        if row.body["holder"] == self._holder:
             return True
+        if not row.body["holder"]:
+            is_return = row.body.get("released_by") == self._holder
+            return is_return or now_ms - self._seen_ms >= self._return_ms
         self._fence = None
-        wait_ms = self._ttl_ms * (100 + DRIFT_PERCENT) // 100
-        return now_ms - self._seen_ms >= wait_ms
+        return now_ms - self._seen_ms >= self._ttl_ms + self.drift_ms
 
     async def _write(self, row: tables.Row | None) -> LeaseState:
         sent_ms = self._clock.now_ms()
--- a/tests/kernel/test_leases.py
+++ b/tests/kernel/test_leases.py
@@ -1,5 +1,6 @@
 """Leases: one holder at a time, and numbers that only grow."""
 
+import asyncio
 import typing
 
 import hypothesis
@@ -10,6 +11,7 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import leases
+from cardamom_kernel import tables
 from tests import fakes
 
 HOLDERS = 3
@@ -157,3 +159,97 @@
         machine.contend_undisturbed(0)
         machine.one_holder()
         machine.teardown()
+
+
+class Outage(fakes.MemoryTable):
+    """A table that can be away."""
+
+    is_away = False
+
+    async def read_latest(
+        self, keys: typing.Sequence[str]
+    ) -> dict[str, tables.Row]:
+        """Return the rows, or raise."""
+        if self.is_away:
+            raise tables.TableUnavailable("away")
+        return await self.read(keys)
+
+
+class Contenders:
+    """Two instances, A and B, on one table and one clock."""
+
+    RETURN_MS = 1_500
+
+    def __init__(self) -> None:
+        self.clock = clocks.SteppedClock(0)
+        self.table = Outage()
+
+    def lease(self, name: str) -> leases.Lease:
+        """Return a new process of an instance."""
+        return leases.Lease(
+            self.table,
+            self.clock,
+            "orders",
+            ids.InstanceId(name),
+            return_ms=self.RETURN_MS,
+        )
+
+
+class TestReturn:
+    """A process that gives its lease up and is restarted."""
+
+    def test_it_takes_the_lease_again_before_others(self) -> None:
+        """They wait until it could have come back."""
+
+        async def run() -> None:
+            scene = Contenders()
+            old, other = scene.lease("a"), scene.lease("b")
+            assert await old.contend() is leases.LeaseState.HELD
+            await old.release({"count": 3})
+            assert await other.contend() is leases.LeaseState.OTHER
+            scene.clock.step(scene.RETURN_MS - 1)
+            assert await other.contend() is leases.LeaseState.OTHER
+            back = scene.lease("a")
+            assert await back.contend() is leases.LeaseState.HELD
+            assert back.seen_note == {"count": 3}
+            assert await other.contend() is leases.LeaseState.OTHER
+
+        asyncio.run(run())
+
+    def test_if_it_stays_away_another_takes_it(self) -> None:
+        """With the note that it left."""
+
+        async def run() -> None:
+            scene = Contenders()
+            old, other = scene.lease("a"), scene.lease("b")
+            await old.contend()
+            await old.release({"count": 3})
+            await other.contend()
+            scene.clock.step(scene.RETURN_MS)
+            assert await other.contend() is leases.LeaseState.HELD
+            assert other.seen_holder == "" and other.seen_note == {"count": 3}
+
+        asyncio.run(run())
+
+
+class TestOutage:
+    """A table that nobody reached for a while."""
+
+    def test_the_wait_begins_anew(self) -> None:
+        """The holder may have kept its lease with good reason."""
+
+        async def run() -> None:
+            scene = Contenders()
+            holder, other = scene.lease("a"), scene.lease("b")
+            await holder.contend()
+            await other.contend()
+            scene.table.is_away = True
+            scene.clock.step(leases.LEASE_TTL_MS)
+            assert await other.contend() is leases.LeaseState.UNREACHED
+            scene.table.is_away = False
+            scene.clock.step(1_000)
+            assert await other.contend() is leases.LeaseState.OTHER
+            scene.clock.step(leases.LEASE_TTL_MS + other.drift_ms)
+            assert await other.contend() is leases.LeaseState.HELD
+
+        asyncio.run(run())
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -14,6 +14,7 @@
 
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import sockets
+from cardamom_kernel import ids
 from tests.wire import standins
 
 Scene = typing.Callable[
@@ -786,6 +787,58 @@
 
         play(scene, plain=1, engines=0, gateways=2)
 
+    def test_engines_change_hands_one_by_one(self) -> None:
+        """A successor waits only for engines that had an order lately."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            await standins.wait_until(
+                lambda: (
+                    any(g.placer.is_holder for g in bed.gateways)
+                    and all(r.reports for r in bed.replicas)
+                )
+            )
+            first = next(g for g in bed.gateways if g.placer.is_holder)
+            second = next(g for g in bed.gateways if g is not first)
+            turn_ms = 2_000
+            for gateway in bed.gateways:
+                gateway.state.settings = dataclasses.replace(
+                    gateway.state.settings, lease_ms=turn_ms
+                )
+            assert await first.placer.ensure_adapter(
+                ids.TargetId("e0"), "m1", "a1"
+            )
+            ordered_ms = first.clock.now_ms()
+            first.begin_stop()
+            await standins.wait_until(lambda: second.placer.may_order)
+            took_ms = second.clock.now_ms() - ordered_ms
+            assert took_ms < 2_600 + 1_500 + 1_000
+            age_ms = second.clock.now_ms() - ordered_ms
+            waits_ms = second.placer._orders_from_by_id[ids.TargetId("e0")]
+            assert waits_ms - second.clock.now_ms() >= turn_ms - age_ms
+            assert ids.TargetId("e1") not in second.placer._orders_from_by_id
+
+        play(scene, plain=0, engines=2, gateways=2)
+
+    def test_a_stopping_holder_goes_on_with_orders(self) -> None:
+        """Until its requests are finished; nobody else may give them."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            (gateway,) = bed.gateways
+            await standins.wait_until(lambda: bed.replicas[0].reports > 0)
+            gateway.begin_stop()
+            await asyncio.sleep(0.5)
+            async with session.post(
+                bed.url("/chat/a"), headers=headers("a1", **ask("m1", "a1"))
+            ) as answer:
+                assert answer.status == 200
+            assert bed.replicas[0].models["m1"] == ["a1"]
+
+        play(scene, plain=0, engines=1)
+
     def test_in_an_outage_for_all_the_holder_stays(self) -> None:
         """Since every member says that it does not reach the store."""
 
