End unloads by reports, not by entries that may be older than the order

Cause, by reading and by a test: the end of an unload was taken from the first entry later than the one known at the order. Entries arrive up to a second late, and a holder that has just taken over knows old ones; an entry from before an earlier load of the model lacks it, so the place was filled while the model was still there. Ruled out: late orders (each names the orders before it); adapters (they are counted with those on their way). Change: an unload ends by a report that counts the order; an entry ends a load only after half of its expected time. Test: test_an_entry_from_before_an_order_does_not_end_it failed before.

--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -33,8 +33,11 @@
 ADAPTER_SETTLE_MS = 16  # an adapter is loaded within some 14 ms
 ADAPTER_USE_MS = 400  # an adapter used so lately is not replaced
 LOAD_TIMEOUT_PARTS = 3.0  # of the expected time, before a load is doubted
+SOONEST_LOAD_PART = 0.5  # of the expected time, before a load can have ended
+ORDER_TIMEOUT_MS = 4_000  # an unload waits for streams that run
+UNLOAD_POLL_MS = 100  # between reports while an unload is under way
 SETTLED_MS = 2_500  # engines that start together register within it
-RESERVE_MS = 3_000  # an unload waits for the requests that run
+RESERVE_MS = 5_000  # an unload waits for the requests that run
 MAX_RESENDS = 20
 HANDOVER_SLACK_MS = 300  # on top of the lease, for orders on their way
 ORDER_MARGIN_MS = 1_000  # of a lease, in which no order is sent any more
@@ -672,31 +675,36 @@
         kind: interfaces.OrderKind,
         spec: model.ModelSpec,
     ) -> None:
-        """Wait until an entry or a report shows that an order is done."""
+        """Wait until a report, or the entry of a load, shows the end.
+
+        An entry may be from before the order, so it tells nothing of an
+        unload, and of a load only when that can have ended.
+        """
         state, wanted = self._state, kind is interfaces.OrderKind.LOAD
         writes = record.target.writes
         expected_ms = self._expected_ms(control, kind, spec)
-        end_ms = state.clock.now_ms() + int(
-            expected_ms * LOAD_TIMEOUT_PARTS + 2_000
+        started_ms = state.clock.now_ms()
+        end_ms = started_ms + int(
+            expected_ms * LOAD_TIMEOUT_PARTS + ORDER_TIMEOUT_MS
         )
-        report_ms = state.clock.now_ms() + int(expected_ms)
+        report_ms = started_ms + max(REPORT_MS, int(expected_ms))
         while state.clock.now_ms() < end_ms:
-            await state.book.wait_for_change(REPORT_MS)
+            await state.book.wait_for_change(UNLOAD_POLL_MS)
             current = state.book.by_id.get(record.target.id)
             if current is None or current.target.born_ms != control.born_ms:
                 raise OrderFailed("the engine has restarted")
-            entry = current.target
+            now_ms, entry = state.clock.now_ms(), current.target
             if (
-                entry.writes > writes
-                and ((spec.name, "") in entry.residents) is wanted
+                wanted
+                and now_ms - started_ms >= expected_ms * SOONEST_LOAD_PART
+                and entry.writes > writes
+                and (spec.name, "") in entry.residents
             ):
-                self._finish(control, entry.residents, spec.name, wanted)
-                control.in_host_memory = entry.in_host_memory
-                control.on_disk = entry.on_disk
+                self._finish(control, entry, spec.name, wanted)
                 return
-            if state.clock.now_ms() < report_ms:
+            if now_ms < report_ms:
                 continue
-            report_ms = state.clock.now_ms() + REPORT_MS
+            report_ms = now_ms + (REPORT_MS if wanted else UNLOAD_POLL_MS)
             report = await self._engines.report(record.target)
             if (
                 report is not None
@@ -704,23 +712,24 @@
                 and not report.is_busy
                 and ((spec.name, "") in report.residents) is wanted
             ):
-                self._finish(control, report.residents, spec.name, wanted)
-                control.in_host_memory = report.in_host_memory
-                control.on_disk = report.on_disk
+                self._finish(control, report, spec.name, wanted)
                 return
         raise OrderFailed("not carried out in time")
 
     def _finish(
         self,
         control: Control,
-        residents: typing.Iterable[model.Residence],
+        told: model.Target | model.EngineReport,
         name: str,
         wanted: bool,
     ) -> None:
+        """Take what an engine tells at the end of an order."""
+        control.in_host_memory = told.in_host_memory
+        control.on_disk = told.on_disk
         if wanted:
             control.residents.add((name, ""))
             control.used_at_ms[(name, "")] = self._state.clock.now_ms()
-        models = {r for r in residents if not r[1]}
+        models = {r for r in told.residents if not r[1]}
         invariants.check(
             {r for r in control.residents if not r[1]} <= models,
             "placing.residents_match",
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -233,6 +233,9 @@
         self.writes = 40  # has nothing to do with the number of orders
         self.cancelled = 0
         self.order_delay_s = 0.0
+        self.unload_s = 0.0
+        self.unloading = ""
+        self.refused_orders = 0
 
     def entry(self) -> dict[str, typing.Any]:
         """Return the entry that it writes of itself."""
@@ -258,7 +261,7 @@
             return self._json(
                 {
                     "models": self._models(),
-                    "busy": False,
+                    "busy": bool(self.unloading),
                     "sequence": self.accepted,
                     "running": 0,
                     "waiting": 0,
@@ -285,7 +288,9 @@
 
     def _order(self, order: dict[str, typing.Any]) -> web.Response:
         self.orders.append(order)
-        if order.get("precondition", self.accepted) != self.accepted:
+        is_expected = order.get("precondition", self.accepted) == self.accepted
+        if self.unloading or not is_expected:
+            self.refused_orders += 1
             return web.Response(status=409)
         self.accepted += 1
         name, adapter = order["model"], order.get("adapter")
@@ -296,9 +301,14 @@
         elif adapter:
             self.models[name].remove(adapter)
         else:
-            del self.models[name]
+            self.unloading = name
+            asyncio.get_running_loop().call_later(self.unload_s, self._unload)
         return web.Response(status=202)
 
+    def _unload(self) -> None:
+        del self.models[self.unloading]
+        self.unloading = ""
+
     def _json(self, body: dict[str, typing.Any]) -> web.Response:
         return web.Response(
             body=orjson.dumps(body), content_type="application/json"
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -444,6 +444,35 @@
 
         play(scene, plain=0, engines=1)
 
+    def test_an_entry_from_before_an_order_does_not_end_it(self) -> None:
+        """Entries come late; one may tell of an earlier absence."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            (engine,) = bed.replicas
+            await standins.wait_until(lambda: engine.reports > 0)
+            await asyncio.sleep(1.5)  # the holder reads entries more often
+            engine.unload_s = 0.7
+            asked = asyncio.create_task(
+                session.post(
+                    bed.url("/chat/a"), headers=headers("a1", **ask("m3"))
+                )
+            )
+            await standins.wait_until(lambda: bool(engine.unloading))
+            late = engine.entry()
+            late["models"] = [
+                one
+                for one in late["models"]
+                if one["name"] != engine.unloading
+            ]
+            bed.store.put("servers", engine.name, late)
+            async with await asked as answer:
+                assert answer.status == 200
+            assert engine.refused_orders == 0
+
+        play(scene, plain=0, engines=1)
+
     def test_an_engine_that_is_down_is_left_out(self) -> None:
         """The model is loaded at another one, which is asked but once."""
 
