Doubt an order that the lease cuts short; divide the placing by job

Cause, from its log: at 22.9 s the holder, cut from the store, could not order for a moment while an unload had no answer. The order failed with "the lease is not held" and the engine was not asked, as that depended on the lease; 2 s later the model's place counted as free and was filled: the engine crashed. Change: each failed order makes the holder ask the engine, and ends the reservation that stood on it (it blocked the model for up to 5 s). placing.py (745 lines) becomes placing (what to load), engine_orders (sending, learning, ends), order_turns (lease turns and handover) and store_loads. Test: test_an_order_that_the_lease_cuts_short_is_not_believed, which fails with the old condition put back; every scene on stand-ins now asserts that no engine was overcommitted.

--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
@@ -53,7 +53,7 @@
                 continue
             state = await self._lease.contend()
             if state is leases.LeaseState.HELD:
-                self._placer.note_fence(
+                self._placer.begin_term(
                     self._lease.seen_holder, self._lease.seen_note
                 )
                 await self._clock.sleep_ms(LEASE_RENEW_MS - LEASE_RETRY_MS)
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -215,6 +215,9 @@
 ]
 
 
+PLACES = 2  # models that fit the memory of an engine in configuration()
+
+
 class ReplicaStandIn(StandIn):
     """A replica: requests by a behaviour, and orders."""
 
@@ -236,6 +239,7 @@
         self.unload_s = 0.0
         self.unloading = ""
         self.refused_orders = 0
+        self.overcommits = 0
 
     def entry(self) -> dict[str, typing.Any]:
         """Return the entry that it writes of itself."""
@@ -296,6 +300,8 @@
         name, adapter = order["model"], order.get("adapter")
         if order["operation"] == "loading":
             self.models.setdefault(name, [])
+            if len(self.models) > PLACES:
+                self.overcommits += 1
             if adapter:
                 self.models[name].append(adapter)
         elif adapter:
@@ -514,6 +520,7 @@
         for replica in replicas:
             await replica.stop()
         await store.stop()
+    assert not any(replica.overcommits for replica in replicas)
 
 
 async def wait_until(
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -473,6 +473,35 @@
 
         play(scene, plain=0, engines=1)
 
+    def test_an_order_that_the_lease_cuts_short_is_not_believed(
+        self,
+    ) -> None:
+        """The engine is asked what it holds before it gets another."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            (engine,), (gateway,) = bed.replicas, bed.gateways
+            await standins.wait_until(lambda: engine.reports > 0)
+            engine.order_delay_s = 1.0  # longer than an answer is awaited
+            asked = asyncio.create_task(
+                session.post(
+                    bed.url("/chat/a"),
+                    headers=headers("a1", Deadline_Ms="9000", **ask("m3")),
+                )
+            )
+            turns = gateway.placer._turns
+            await standins.wait_until(lambda: bool(turns._ordered_ms_by_id))
+            with mock.patch.object(
+                type(turns), "may_order", property(lambda turns: False)
+            ):
+                await asyncio.sleep(0.8)
+                engine.order_delay_s = 0.0
+            async with await asked as answer:
+                assert answer.status == 200
+
+        play(scene, plain=0, engines=1)
+
     def test_an_engine_that_is_down_is_left_out(self) -> None:
         """The model is loaded at another one, which is asked but once."""
 
@@ -844,9 +873,10 @@
             took_ms = second.clock.now_ms() - ordered_ms
             assert took_ms < 2_600 + 1_500 + 1_000
             age_ms = second.clock.now_ms() - ordered_ms
-            waits_ms = second.placer._orders_from_by_id[ids.TargetId("e0")]
+            turns = second.placer._turns
+            waits_ms = turns.orders_from_ms(ids.TargetId("e0"))
             assert waits_ms - second.clock.now_ms() >= turn_ms - age_ms
-            assert ids.TargetId("e1") not in second.placer._orders_from_by_id
+            assert turns.may_order_to(ids.TargetId("e1"))
 
         play(scene, plain=0, engines=2, gateways=2)
 
