--- a/packages/cardamom-ctl/src/cardamom_ctl/cli.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/cli.py
@@ -1,6 +1,7 @@
 """The commands of cardamomctl."""
 
 import enum
+import itertools
 import json
 import pathlib
 import secrets
@@ -11,6 +12,7 @@
 
 from cardamom_config import folders
 from cardamom_ctl import client as clients
+from cardamom_ctl import traces
 
 APPLY_TRIES = 3
 
@@ -25,12 +27,13 @@
     CONFLICT = 4
     UNREACHED = 5
     NOT_YET_IN_FORCE = 6
+    NOT_FOUND = 7
 
 
 EXIT_TEXT = """
 Exit codes: 0 done; 1 the instance refused; 2 wrong usage; 3 the folder has
 errors; 4 another operator was first; 5 no instance answered; 6 accepted, but
-not yet in force everywhere.
+not yet in force everywhere; 7 no log line names the request.
 """
 
 app = typer.Typer(
@@ -92,6 +95,64 @@
         print("ok")
 
 
+@app.command()
+def trace(
+    request: typing.Annotated[
+        str, typer.Argument(help="The request's id, as its caller sent it.")
+    ],
+    logs: typing.Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Log files of all instances; - reads stdin."),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Tell from logs what became of a request, and why."""
+    files = [path for path in logs if str(path) != "-"]
+    try:
+        log = traces.read_log(
+            itertools.chain(
+                traces.open_files(files),
+                [("stdin", sys.stdin)] if len(files) < len(logs) else [],
+            )
+        )
+    except OSError as error:
+        _say(f"{error.filename}: cannot be read: {error.strerror}")
+        raise typer.Exit(Exit.INVALID) from error
+    story = traces.tell(log, request)
+    if log.unreadable:
+        _say(f"{log.unreadable} lines could not be read and are left out")
+    if story is None:
+        _say(f"no line names {request}; give the logs of all instances")
+        raise typer.Exit(Exit.NOT_FOUND)
+    if as_json:
+        print(json.dumps(_story_document(story)))
+        return
+    print(f"request {request}: {story.ending.value}")
+    if story.reason:
+        print(f"reason: {story.reason}")
+    print("lines:")
+    for line in story.lines:
+        print(f"  {line.render()}")
+    if story.context:
+        print("decided or noticed about that time:")
+        for line in story.context:
+            print(f"  {line.render()}")
+
+
+def _story_document(story: traces.Story) -> dict[str, typing.Any]:
+    return {
+        "request": story.request,
+        "ending": story.ending.name.lower(),
+        "reason": story.reason,
+        "lines": [
+            {"source": line.source, **line.fields} for line in story.lines
+        ],
+        "context": [
+            {"source": line.source, **line.fields} for line in story.context
+        ],
+    }
+
+
 @app.command()
 def diff(
     folder: Folder,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,13 @@
 """Profiles of the randomised tests."""
 
+import logging
 import os
+import typing
 
 import hypothesis
 import pytest
+import structlog
+from structlog import testing as structlog_testing
 
 from cardamom_kernel import telemetry
 
@@ -30,3 +34,16 @@
 def quiet_logs() -> None:
     """Keep the logs of instances under test to warnings."""
     telemetry.configure_logs(telemetry.LogFormat.CONSOLE, "error", "test")
+    structlog.configure(cache_logger_on_first_use=False)
+
+
+@pytest.fixture
+def log_entries() -> typing.Iterator[list[typing.MutableMapping[str, object]]]:
+    """Collect every log entry of a test, as fields."""
+    wrapper = structlog.get_config()["wrapper_class"]
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO)
+    )
+    with structlog_testing.capture_logs() as entries:
+        yield entries
+    structlog.configure(wrapper_class=wrapper)
