Refuse at once what the caller will not wait for

Change: a route tells how long its callers wait; a stream is refused at once, with Retry-After, if its first event would come after that, or its end, by the caller's estimate of its length, after the deadline. Ruled out: slow engines (predictions agree in the median). Tests: TestDeadlines and the estimate's decoding failed before; the test of refusals asks excess_ms with the same figures, as can_be_served became it.

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -47,6 +47,13 @@
     last_target: str = outcomes.NO_PEER
     last_failure: str = ""
 
+    @property
+    def first_by_ms(self) -> int:
+        """Return when the caller leaves without a first event or answer."""
+        if self.route.kind is not model.CallKind.STREAM:
+            return self.deadline_ms
+        return min(self.deadline_ms, self.arrived_ms + self.route.patience_ms)
+
     @property
     def has_begun(self) -> bool:
         """Tell whether the caller has got a part of the answer."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -233,9 +233,7 @@
                 if (
                     state.is_closing
                     or left_ms <= 0
-                    or not refusals.can_be_served(
-                        expected_ms, call.deadline_ms - state.clock.now_ms()
-                    )
+                    or self._excess_ms(call, expected_ms) > 0
                 ):
                     raise self._not_loaded(call, name, expected_ms)
                 await state.book.wait_for_change(left_ms)
@@ -244,9 +242,24 @@
 
     def _wait_until_ms(self, call: admission.Call) -> float:
         """Return until when a request waits for a model or an adapter."""
-        return call.arrived_ms + max(
-            call.route.objective_ms,
-            MODEL_WAIT_PART * (call.deadline_ms - call.arrived_ms),
+        return min(
+            call.first_by_ms,
+            call.arrived_ms
+            + max(
+                call.route.objective_ms,
+                MODEL_WAIT_PART * (call.deadline_ms - call.arrived_ms),
+            ),
+        )
+
+    def _excess_ms(self, call: admission.Call, first_event_ms: float) -> float:
+        """Return by how much an answer would come too late, if above 0."""
+        now_ms = self._state.clock.now_ms()
+        return max(
+            refusals.excess_ms(first_event_ms, call.first_by_ms - now_ms),
+            refusals.excess_ms(
+                first_event_ms + refusals.answer_ms(call.head.expected_tokens),
+                call.deadline_ms - now_ms,
+            ),
         )
 
     def _untried(
@@ -308,18 +321,14 @@
                 outcomes.Step.ROUTE,
                 retry_after_ms=target_book.SUSPECT_MS,
             )
-        left_ms = call.deadline_ms - state.clock.now_ms()
-        if not call.may_have_run and not refusals.can_be_served(
-            choice.first_event_ms, left_ms
-        ):
+        excess_ms = self._excess_ms(call, choice.first_event_ms)
+        if not call.may_have_run and excess_ms > 0:
             raise admission.refused(
                 outcomes.Code.OVERLOADED,
                 f"first event in {choice.first_event_ms:.0f} ms, "
-                f"{left_ms:.0f} ms left",
+                f"{excess_ms:.0f} ms too late",
                 outcomes.Step.QUEUE,
-                retry_after_ms=refusals.retry_after_ms(
-                    choice.first_event_ms, left_ms
-                ),
+                retry_after_ms=refusals.retry_after_ms(excess_ms),
             )
         return state.book.by_id[choice.id], choice
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -14,6 +14,7 @@
 ServiceId = typing.NewType("ServiceId", str)
 PartId = typing.NewType("PartId", str)
 Residence = tuple[str, str]
+NO_LIMIT_MS = 1 << 40
 
 
 class CallKind(enum.Enum):
@@ -38,7 +39,9 @@
 
     ``priority`` 0 is the most urgent; ``objective_ms`` is the time to the
     answer, or to the first event of a stream; ``pause_ms`` is the longest
-    pause between events of an answer that is still on time, 0 for none.
+    pause between events of an answer that is still on time, 0 for none;
+    ``patience_ms`` is how long callers wait for the next event of a stream,
+    the first one too, before they leave.
     """
 
     id: ids.RouteId
@@ -53,6 +56,7 @@
     is_open: bool
     is_resumable: bool
     pause_ms: int = 0
+    patience_ms: int = NO_LIMIT_MS
 
     @property
     def is_repeatable(self) -> bool:
@@ -208,8 +212,9 @@
     """What a request's head says, decoded.
 
     ``parts`` are the prompt's parts in order, with their tokens; the last
-    one belongs to the request's session.  ``tokens`` is None where the
-    request does not tell its size.
+    one belongs to the request's session.  ``prompt_tokens`` is None where
+    the request does not tell its size; ``answer_tokens`` is the most that
+    the answer may have, ``expected_tokens`` the caller's estimate.
     """
 
     attempt: ids.AttemptId
@@ -219,6 +224,7 @@
     adapter: str
     prompt_tokens: int | None
     answer_tokens: int
+    expected_tokens: int
     parts: tuple[tuple[PartId, int], ...]
     last_event: str
 
--- a/tests/policy/test_dispatching.py
+++ b/tests/policy/test_dispatching.py
@@ -84,6 +84,6 @@
 
     def test_what_would_be_late_is_refused_with_its_wait(self) -> None:
         """The wait is what is missing."""
-        assert refusals.can_be_served(800.0, 1_000.0)
-        assert not refusals.can_be_served(2_000.0, 1_000.0)
-        assert refusals.retry_after_ms(2_000.0, 1_000.0) == 1_100
+        assert refusals.excess_ms(800.0, 1_000.0) <= 0
+        excess_ms = refusals.excess_ms(2_000.0, 1_000.0)
+        assert refusals.retry_after_ms(excess_ms) == 1_100
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -414,6 +414,55 @@
         play(scene, plain=0, engines=1)
 
 
+class TestDeadlines:
+    """What cannot be finished is not begun."""
+
+    @pytest.mark.parametrize(("hint", "status"), [("20", 200), ("400", 503)])
+    def test_the_whole_answer_must_fit(self, hint: str, status: int) -> None:
+        """A stream that is cut at its deadline serves nobody."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            named = ask("m1") | {"Token_Usage": "100,400"}
+            async with session.post(
+                bed.url("/chat/a"),
+                headers=headers("a1", Length_Hint=hint, **named),
+            ) as answer:
+                assert answer.status == status
+                if status == 503:
+                    assert float(answer.headers["Retry-After"]) > 0
+            assert len(bed.replicas[0].requests) == (status == 200)
+
+        play(scene, plain=0, engines=1)
+
+    def test_a_model_that_comes_after_the_caller_has_left(self) -> None:
+        """The deadline is later, but no caller waits so long for an event."""
+
+        async def scene(
+            bed: standins.Bed, session: aiohttp.ClientSession
+        ) -> None:
+            slow = standins.configuration(8)
+            spec = slow["services"][1]["engine"]["models"][2]
+            spec["load_s"] = spec["disk_s"] = 5.0
+            for route in slow["routes"]:
+                route["timeout_ms"] = 15_000
+            bed.store.put("op", "config", slow)
+            await standins.wait_until(
+                lambda: bed.gateways[0].state.configuration.version == 8
+            )
+            started_ms = bed.gateways[0].clock.now_ms()
+            async with session.post(
+                bed.url("/chat/a"),
+                headers=headers("a1", Deadline_Ms="15000", **ask("m3")),
+            ) as answer:
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) > 3.0
+            assert bed.gateways[0].clock.now_ms() - started_ms < 500
+
+        play(scene, plain=0, engines=1)
+
+
 class TestPlacement:
     """Models and adapters that are loaded on demand."""
 
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -165,6 +165,17 @@
         assert head.parts == (("5c", 800), ("91", 410))
         assert (head.deadline_ms, head.last_event) == (4000, "12")
 
+    @pytest.mark.parametrize(
+        ("hint", "expected"),
+        [("20", 20), ("200", 80), ("", 80), ("about ten", 80)],
+    )
+    def test_an_estimate_of_the_answer(self, hint: str, expected: int) -> None:
+        """Never above the most; what cannot be read says nothing."""
+        head = headers.decode_head(
+            {"Token-Usage": "1460,80", "Length-Hint": hint}
+        )
+        assert head.expected_tokens == expected
+
     @pytest.mark.parametrize(
         ("name", "value"),
         [
