Give no urgent model more copies than its work needs

Change: a copy for each 350 ms a second of work at most; shares of the places as before when there is more work.

--- a/packages/cardamom-policy/src/cardamom_policy/tiering.py
+++ b/packages/cardamom-policy/src/cardamom_policy/tiering.py
@@ -24,6 +24,7 @@
 PATIENT_STORE_PART = 0.25  # of the engines, at once, for patient models
 IDLE_STORE_PART = 0.7  # of the engines, at once, before traffic
 EXPECTED_MS = 800.0  # a model that is expected to be asked for soon
+COPY_WORK = 350.0  # ms a second that a copy carries with room for bursts
 STORE_LOAD_WORK = 700.0  # ms a second; a copy above it is overloaded
 IDLE_WORK = 5.0  # ms a second; below it nobody asks, it only fades
 PATIENT_ORDER_PART = 0.5  # of the engines, while urgent models lack copies
@@ -153,7 +154,10 @@
 def copies_by_model(situation: Situation) -> dict[str, int]:
     """Return how many engines should hold each urgent model.
 
-    A place for some of the patient models in demand is left to them.
+    Places are shared in proportion to the work, but no model gets more than
+    its work needs: what is left keeps models within reach that may be asked
+    for next.  A place for some of the patient models in demand is left to
+    them.
     """
     work = {
         model: demand.work_per_s
@@ -175,7 +179,9 @@
     )
     return {
         model: min(
-            len(situation.engines), max(1, round(places * part / total))
+            len(situation.engines),
+            math.ceil(part / COPY_WORK),
+            max(1, round(places * part / total)),
         )
         for model, part in work.items()
     }
