Count no time as passed while the store's clock is unknown

Cause, found in reading the change: before the store's first answer its clock was taken for this machine's, so a successor could have taken an order for older than it was and ordered an engine too soon. Tests: without the clock, for both rows.

--- a/packages/cardamom-gateway/src/cardamom_gateway/followers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/followers.py
@@ -46,10 +46,12 @@
         self.is_reached = False
         self.called_ms: int | None = None
         self.back_ms: int = clocks.NEVER_MS
-        self._store_ahead_ms = 0
+        self._store_ahead_ms: int | None = None
 
-    def store_ms(self) -> int:
-        """Return the store's clock, as its last answer told it."""
+    def store_ms(self) -> int | None:
+        """Return the store's clock by its last answer, None before one."""
+        if self._store_ahead_ms is None:
+            return None
         return self._clock.now_ms() + self._store_ahead_ms
 
     def skip_to(self, version: int) -> None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -364,8 +364,11 @@
     async def _keep_usage(self) -> None:
         """Store the use of teams near their limits, for later starts."""
         configuration, now_ms = self.state.configuration, self.clock.now_ms()
+        store_ms = self.fleet.store_ms()
         if not self.placer.is_holder or configuration is None:
             return
+        if store_ms is None:
+            return  # nothing has been read from the store yet
         rates = self.state.rates
         pressed = {
             team.id: rates.profile(team.id, now_ms).amounts
@@ -374,7 +377,7 @@
             and rates.is_pressed(team.id, self.state.rate_limit(team), now_ms)
         }
         if pressed or self._stored_usage:
-            row = usage.encode(pressed, self.fleet.store_ms())
+            row = usage.encode(pressed, store_ms)
             await self._table.commit({}, {USAGE_KEY: row})
         self._stored_usage = bool(pressed)
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/handovers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/handovers.py
@@ -36,16 +36,18 @@
 
 
 def decode(
-    note: typing.Mapping[str, typing.Any], store_ms: int
+    note: typing.Mapping[str, typing.Any], store_ms: int | None
 ) -> Handover | None:
     """Return a note as of a time of the store's clock, None for none.
 
-    Raises MalformedHandover.
+    Without the clock the ages are those of the release, so that no wait is
+    too short.  Raises MalformedHandover.
     """
     if not note:
         return None
     try:
-        passed_ms = max(0, store_ms - int(note["at_ms"]))
+        left_ms = int(note["at_ms"])
+        passed_ms = 0 if store_ms is None else max(0, store_ms - left_ms)
         return Handover(
             str(note["released_by"]),
             {
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_turns.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_turns.py
@@ -35,7 +35,7 @@
         state: state_module.GatewayState,
         lease: leases.Lease,
         loads: store_loads.StoreLoads,
-        store_ms: typing.Callable[[], int],
+        store_ms: typing.Callable[[], int | None],
     ) -> None:
         self._state = state
         self._lease = lease
@@ -131,19 +131,24 @@
         }
 
     def handover(self) -> dict[str, typing.Any]:
-        """Return the note for the next holder."""
-        now_ms = self._state.clock.now_ms()
+        """Return the note for the next holder.
+
+        It is empty if the store's clock is not known, so that the successor
+        waits for all engines.
+        """
+        now_ms, store_ms = self._state.clock.now_ms(), self._store_ms()
+        if store_ms is None:
+            return {}
         return handovers.encode(
             handovers.Handover(
                 self._state.settings.instance,
                 {
                     target_id: now_ms - at_ms
                     for target_id, at_ms in self._ordered_ms_by_id.items()
-                    if now_ms - at_ms <= handovers.MAX_AGE_MS
                 },
                 tuple(now_ms - at_ms for at_ms in self._loads.begun_ms),
             ),
-            self._store_ms(),
+            store_ms,
         )
 
     def orders_from_ms(self, target_id: ids.TargetId) -> int:
@@ -157,7 +162,12 @@
 
     def note_order(self, target_id: ids.TargetId) -> None:
         """Record that an order is sent to an engine now."""
-        self._ordered_ms_by_id[target_id] = self._state.clock.now_ms()
+        now_ms = self._state.clock.now_ms()
+        self._ordered_ms_by_id = {
+            ordered: at_ms
+            for ordered, at_ms in self._ordered_ms_by_id.items()
+            if now_ms - at_ms <= handovers.MAX_AGE_MS
+        } | {target_id: now_ms}
 
     def end(self) -> None:
         """Send no more orders, whatever the lease says."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/placing.py
@@ -40,7 +40,7 @@
         engines: interfaces.EngineControl,
         lease: leases.Lease,
         publish: Publish,
-        store_ms: typing.Callable[[], int],
+        store_ms: typing.Callable[[], int | None],
     ) -> None:
         self._state = state
         self._publish = publish
--- a/packages/cardamom-gateway/src/cardamom_gateway/store_loads.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store_loads.py
@@ -22,7 +22,7 @@
 
     def take_over(self, begun_ms: typing.Iterable[int]) -> None:
         """Add the loads of the holder before."""
-        self.begun_ms = collections.deque(sorted({*self.begun_ms, *begun_ms}))
+        self.begun_ms = collections.deque(sorted([*self.begun_ms, *begun_ms]))
 
     def assume_all(self, now_ms: int) -> None:
         """Count the loads that an earlier holder may have begun lately."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/usage.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/usage.py
@@ -31,17 +31,19 @@
 
 
 def decode(
-    value: bytes | None, store_ms: int
+    value: bytes | None, store_ms: int | None
 ) -> dict[str, tuple[int, Amounts]]:
     """Return the age in ms and the amounts of each team in a row.
 
-    ``store_ms`` is the store's clock now.  Raises MalformedUsage.
+    ``store_ms`` is the store's clock now; without it the use is taken to be
+    new.  Raises MalformedUsage.
     """
     if value is None:
         return {}
     try:
         row = orjson.loads(value)
-        age_ms = max(0, store_ms - int(row["at_ms"]))
+        at_ms = int(row["at_ms"])
+        age_ms = 0 if store_ms is None else max(0, store_ms - at_ms)
         return {
             str(team): (age_ms, tuple(float(one) for one in amounts))
             for team, amounts in row["amounts"].items()
--- a/packages/cardamom-policy/src/cardamom_policy/tiering.py
+++ b/packages/cardamom-policy/src/cardamom_policy/tiering.py
@@ -5,7 +5,7 @@
 models, whose objective is shorter than a load, hold most places in
 proportion to their work.  Patient models, whose requests can wait for a load,
 share one place on each engine, which is changed on demand; their orders
-leave most engines free while an urgent model lacks copies.
+leave half of the engines free while an urgent model is overloaded.
 
 It answers for demand that moves between models within seconds, and for many
 rare models that are asked for at once.
@@ -27,7 +27,7 @@
 COPY_WORK = 350.0  # ms a second that a copy carries with room for bursts
 STORE_LOAD_WORK = 700.0  # ms a second; a copy above it is overloaded
 IDLE_WORK = 5.0  # ms a second; below it nobody asks, it only fades
-PATIENT_ORDER_PART = 0.5  # of the engines, while urgent models lack copies
+PATIENT_ORDER_PART = 0.5  # of the engines, while an urgent model is overloaded
 STORE_LOADS_OF_MODEL = 2  # at once; a model that rises may need several
 ENGINE_LOAD_COST = 0.3  # ms for each ms a second of work on an engine
 UNSEEN_MS = 500.0  # a model that nobody has asked for yet may be urgent
@@ -222,7 +222,7 @@
     def serve_waiting(self, is_urgent: bool) -> None:
         """Load models that requests wait for and no engine holds.
 
-        Patient models leave most engines to urgent ones that lack copies.
+        Patient models leave a part of the engines to overloaded urgent ones.
         """
         waiting = sorted(
             (
--- a/tests/gateway/test_handovers.py
+++ b/tests/gateway/test_handovers.py
@@ -22,6 +22,11 @@
             "frontend-1", {ENGINE: 1_400}, (4_000, 1_010)
         )
 
+    def test_without_the_clock_no_time_has_passed(self) -> None:
+        """A wait may then be too long, and never too short."""
+        left = handovers.Handover("frontend-1", {ENGINE: 400}, ())
+        assert handovers.decode(handovers.encode(left, 50_000), None) == left
+
     def test_no_note(self) -> None:
         """The lease ended without one."""
         assert handovers.decode({}, 50_000) is None
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -18,6 +18,11 @@
         read = usage.decode(orjson.dumps(row), 5_700)
         assert read == {TEAM: (700, (10.0, 0.0))}
 
+    def test_without_the_clock_the_use_is_new(self) -> None:
+        """So that no limit is exceeded."""
+        row = usage.encode({TEAM: (10.0,)}, 5_000)
+        assert usage.decode(orjson.dumps(row), None) == {TEAM: (0, (10.0,))}
+
     def test_no_row_is_no_use(self) -> None:
         """Nobody has been near a limit."""
         assert usage.decode(None, 5_000) == {}
