--- a/packages/cardamom-policy/src/cardamom_policy/tiering.py
+++ b/packages/cardamom-policy/src/cardamom_policy/tiering.py
@@ -292,13 +292,17 @@
 
         Later such a load would hold up every other order to its engine.
         """
-        demands = self.situation.demand_by_model.values()
-        if any(demand.is_active for demand in demands):
+        if not self._is_idle():
             return
         for model in self.situation.size_by_model:
             if not self._copies.get(model) and not self._is_kept(model):
                 self._bring(model, "only the store has it", is_needed=True)
 
+    def _is_idle(self) -> bool:
+        """Tell whether nobody asks for any model, as before traffic."""
+        demands = self.situation.demand_by_model.values()
+        return not any(demand.is_active for demand in demands)
+
     def _is_kept(self, model: str) -> bool:
         """Tell whether some engine has a model's weights."""
         return any(
@@ -458,11 +462,7 @@
             for engine in self.situation.engines
         )
         engines = len(self.situation.engines)
-        is_idle = not any(
-            demand.is_active
-            for demand in self.situation.demand_by_model.values()
-        )
-        part = IDLE_STORE_PART if is_idle else PATIENT_STORE_PART
+        part = IDLE_STORE_PART if self._is_idle() else PATIENT_STORE_PART
         return loading >= max(1, int(engines * part))
 
     def _loads_from_store(self, model: str) -> int:
