Log how a relayed answer was framed, and what its stream left unfinished

The line of an answered request could not tell the hypotheses on short streams apart: a connection that ends inside an event, a reset that is lost, or a framed answer that ends too early. It now has the framing of the target's answer and the number of bytes after its last complete event. What an answer's body is delimited by moves to a module of its own.

--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/answer_bodies.py
@@ -0,0 +1,58 @@
+"""How the body of a target's answer is delimited, and how it ended."""
+
+import asyncio
+import enum
+
+import aiohttp
+
+STATUSES_WITHOUT_BODY = (204, 304)
+
+
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION_END = "connection_end"
+
+
+def framing(response: aiohttp.ClientResponse) -> Framing:
+    """Return what marks the end of an answer's body."""
+    if "Transfer-Encoding" in response.headers:
+        return Framing.CHUNKED
+    if (
+        "Content-Length" in response.headers
+        or response.status in STATUSES_WITHOUT_BODY
+    ):
+        return Framing.LENGTH
+    return Framing.CONNECTION_END
+
+
+def connection_end(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Return a future that ends with the connection of an unframed answer.
+
+    An unframed body ends when its connection is closed, and aiohttp takes a
+    reset for a regular close; the future raises for a reset.  Returns None
+    for a framed answer.  Raises ClientPayloadError if the connection has
+    already been released.
+    """
+    if framing(response) is not Framing.CONNECTION_END:
+        return None
+    connection = response.connection
+    if connection is None or connection.protocol is None:
+        raise aiohttp.ClientPayloadError(
+            "the connection of an unframed answer has been released"
+        )
+    end: asyncio.Future[None] | None = connection.protocol.closed
+    return end
+
+
+async def wait_for_connection_end(end: asyncio.Future[None] | None) -> None:
+    """Wait for the end of an unframed answer's connection.
+
+    Raises ClientConnectionError if the connection was reset.
+    """
+    if end is not None:
+        await end
--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -11,6 +11,7 @@
 
 from cardamom_kernel import clocks
 
+from cardamom_gateway import answer_bodies
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import sockets
@@ -136,9 +137,9 @@
 
         Raises one of TRANSFER_ERRORS if it is not complete.
         """
-        end = connection_end(response)
+        end = answer_bodies.connection_end(response)
         body = await response.read()
-        await wait_for_connection_end(end)
+        await answer_bodies.wait_for_connection_end(end)
         return body
 
     def _check_answer(
@@ -249,40 +250,6 @@
     return trace
 
 
-def connection_end(
-    response: aiohttp.ClientResponse,
-) -> asyncio.Future[None] | None:
-    """Return a future that ends with the connection of an unframed answer.
-
-    An unframed body ends when its connection is closed, and aiohttp takes a
-    reset for a regular close; the future raises for a reset.  Returns None
-    for a framed answer.  Raises ClientPayloadError if the connection has
-    already been released.
-    """
-    is_framed = (
-        "Content-Length" in response.headers
-        or "Transfer-Encoding" in response.headers
-    )
-    if is_framed or response.status in (204, 304):
-        return None
-    connection = response.connection
-    if connection is None or connection.protocol is None:
-        raise aiohttp.ClientPayloadError(
-            "the connection of an unframed answer has been released"
-        )
-    end: asyncio.Future[None] | None = connection.protocol.closed
-    return end
-
-
-async def wait_for_connection_end(end: asyncio.Future[None] | None) -> None:
-    """Wait for the end of an unframed answer's connection.
-
-    Raises ClientConnectionError if the connection was reset.
-    """
-    if end is not None:
-        await end
-
-
 class Attempt:
     """An attempt in flight, which ``give_up`` can end from another task.
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -15,6 +15,7 @@
 from cardamom_policy import tiering
 
 from cardamom_gateway import admission
+from cardamom_gateway import answer_bodies
 from cardamom_gateway import attempts
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
@@ -442,6 +443,7 @@
                 if failure.kind is attempts.FailureKind.BROKEN:
                     self._on_broken_attempt(attempt)
                 raise
+            framing = answer_bodies.framing(attempt.response)
             attempt.response.release()
             attempt.response = None
         record.note_outcome(has_failed=answer.status >= 500)
@@ -458,6 +460,8 @@
             charged=round(call.charged_cost),
             target=record.target.id,
             status=answer.status,
+            framing=framing.value,
+            incomplete_bytes=len(call.event_buffer.incomplete),
             sent=call.sent_attempts,
             predicted_ms=round(choice.first_event_ms),
             waited_ms=sent_ms - call.arrived_ms,
@@ -539,7 +543,7 @@
         attempt: attempts.Attempt,
         response: aiohttp.ClientResponse,
     ) -> web.StreamResponse:
-        connection_end = attempts.connection_end(response)
+        connection_end = answer_bodies.connection_end(response)
         async for data in response.content.iter_any():
             attempt.note_received()
             events = call.event_buffer.feed(data)
@@ -547,7 +551,7 @@
                 attempt.note_first_event()
                 answer = await self._start_answer(call, response)
                 await self._write(answer, events)
-        await attempts.wait_for_connection_end(connection_end)
+        await answer_bodies.wait_for_connection_end(connection_end)
         answer = await self._start_answer(call, response)
         if call.event_buffer.incomplete:
             await self._write(answer, call.event_buffer.incomplete)
