Test that a stream which ends inside an event is not taken for complete

Callers of streams got a short answer that was framed as complete, and a resumable stream was not resumed.

--- a/tests/wire/scenarios.py
+++ b/tests/wire/scenarios.py
@@ -7,6 +7,7 @@
 
 from tests.wire import standins
 
+Entries = list[typing.MutableMapping[str, typing.Any]]
 Scenario = typing.Callable[
     [standins.Deployment, aiohttp.ClientSession], typing.Awaitable[None]
 ]
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -375,6 +375,17 @@
     return answer
 
 
+def begin_unframed(request: web.BaseRequest) -> asyncio.Transport:
+    """Start an answer that ends with its connection."""
+    transport = request.transport
+    assert isinstance(transport, asyncio.Transport)
+    head = "".join(
+        f"{name}: {value}\r\n" for name, value in signed(request).items()
+    )
+    transport.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+    return transport
+
+
 def event(number: int) -> bytes:
     """Return a server-sent event with this id."""
     return f"id: {number}\ndata: piece {number}\n\n".encode()
