Take a stream that ends inside an event for broken off

Cause: the relay took any regular end of the target's answer for the end of the stream. It forwarded what it had of the last event and ended its own answer. An answer without length or chunks ends with its connection, so a FIN after a crash looked like the end of a whole stream.

Now the end of the target's answer counts only between two events. Else the attempt has failed: a resumable stream goes on at another target, any other is broken off at the caller. Lines may end with CRLF, so that such streams aren't taken for broken off; they were held back until their end before. In the test, the case with a length sent no content type of events and now does.

--- a/packages/cardamom-gateway/src/cardamom_gateway/answer_bodies.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/answer_bodies.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 STATUSES_WITHOUT_BODY = (204, 304)
+EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class Framing(enum.Enum):
@@ -28,6 +29,17 @@
     return Framing.CONNECTION_END
 
 
+def is_event_stream(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a stream's answer consists of events.
+
+    An answer without a content type is taken for events.
+    """
+    return (
+        "Content-Type" not in response.headers
+        or response.content_type == EVENT_STREAM_TYPE
+    )
+
+
 def connection_end(
     response: aiohttp.ClientResponse,
 ) -> asyncio.Future[None] | None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -552,6 +552,12 @@
                 answer = await self._start_answer(call, response)
                 await self._write(answer, events)
         await answer_bodies.wait_for_connection_end(connection_end)
+        if call.event_buffer.is_inside_event and answer_bodies.is_event_stream(
+            response
+        ):
+            raise attempts.AttemptFailed(
+                attempts.FailureKind.BROKEN, "the stream ended inside an event"
+            )
         answer = await self._start_answer(call, response)
         if call.event_buffer.incomplete:
             await self._write(answer, call.event_buffer.incomplete)
--- a/packages/cardamom-gateway/src/cardamom_gateway/streams.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/streams.py
@@ -1,6 +1,8 @@
 """Splits a byte stream of server-sent events at event boundaries."""
 
-EVENT_END = b"\n\n"
+# A blank line after a line that ends with LF or CRLF.
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
+LINE_END_BYTES = b"\r\n"
 ID_FIELD = b"id:"
 
 
@@ -18,11 +20,8 @@
     def feed(self, data: bytes) -> bytes:
         """Add data and return the bytes of the events now complete."""
         buffered = self._incomplete + data
-        end = buffered.rfind(EVENT_END)
-        if end < 0:
-            self._incomplete = buffered
-            return b""
-        complete, self._incomplete = buffered[: end + 2], buffered[end + 2 :]
+        end = max(_end_of_last(mark, buffered) for mark in EVENT_ENDS)
+        complete, self._incomplete = buffered[:end], buffered[end:]
         self._store_last_id(complete)
         return complete
 
@@ -31,6 +30,11 @@
         """Return the bytes after the last complete event."""
         return self._incomplete
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether the data so far ends inside an event."""
+        return bool(self._incomplete.strip(LINE_END_BYTES))
+
     def drop_incomplete(self) -> None:
         """Drop the incomplete event of an answer that broke off."""
         self._incomplete = b""
@@ -41,3 +45,9 @@
                 event_id = line[len(ID_FIELD) :].strip()
                 self.last_event = event_id.decode("latin-1")
                 return
+
+
+def _end_of_last(mark: bytes, data: bytes) -> int:
+    """Return the position after the last occurrence of a mark, 0 for none."""
+    start = data.rfind(mark)
+    return 0 if start < 0 else start + len(mark)
--- a/tests/wire/test_stream_ends.py
+++ b/tests/wire/test_stream_ends.py
@@ -19,7 +19,11 @@
 ) -> web.StreamResponse:
     """Send a body that ends as its framing says."""
     if framing == "length":
-        return web.Response(body=body, headers=standins.signed(request))
+        return web.Response(
+            body=body,
+            headers=standins.signed(request),
+            content_type="text/event-stream",
+        )
     if framing == "chunked":
         answer = await standins.begin_stream(request)
         await answer.write(body)
@@ -114,6 +118,22 @@
         run(scenario)
 
 
+class TestOtherAnswers:
+    """Answers of another type on the route of a stream."""
+
+    def test_answer_that_is_no_stream_of_events_is_complete(self) -> None:
+        """An answer without events could be taken for a broken-off stream."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            body = await _read_stream(deployment, session, "/once/a")
+            assert body == deployment.replicas[0].name.encode()
+
+        run = functools.partial(scenarios.run_scenario, plain=0, engines=1)
+        run(scenario)
+
+
 class TestStreamEndLog:
     """What the line of an answered request tells of its stream's end."""
 
