Don't take a reset for the end of a plain service's answer in the daemon

Found while looking for the class of fault of the short streams: an end of the connection taken for the end of the answer. A caller of the daemon's plain calls got half of an answer without a length as a complete one when its connection was reset.

Cause: aiohttp takes a reset for the end of an unframed body. The gateway asks the connection how it ended, the daemon did not. The module that does so moves to cardamom-platform and both use it.

--- a/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
@@ -16,6 +16,7 @@
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_kernel import telemetry
+from cardamom_platform import answer_bodies
 from cardamom_platform import pools
 from cardamom_policy import retries
 from cardamom_policy import routing
@@ -202,6 +203,7 @@
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0),
         ) as response:
+            connection_end = answer_bodies.connection_end(response)
             answered_id = response.headers.get(
                 callers.REQUEST_ID_HEADER, call.id
             )
@@ -214,6 +216,7 @@
                 body += await response.content.read(MAX_ANSWER_BYTES + 1)
                 if len(body) > MAX_ANSWER_BYTES:
                     raise aiohttp.ClientPayloadError("the answer is too large")
+            await answer_bodies.wait_for_connection_end(connection_end)
             return PlainAnswer(
                 response.status,
                 {
--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -10,8 +10,8 @@
 import yarl
 
 from cardamom_kernel import clocks
+from cardamom_platform import answer_bodies
 
-from cardamom_gateway import answer_bodies
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import sockets
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -9,13 +9,13 @@
 
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
+from cardamom_platform import answer_bodies
 from cardamom_policy import dispatching
 from cardamom_policy import loading_waits
 from cardamom_policy import refusals
 from cardamom_policy import tiering
 
 from cardamom_gateway import admission
-from cardamom_gateway import answer_bodies
 from cardamom_gateway import attempts
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
