Don't take an unknown end of an unframed answer for a regular one

Found while testing the second hypothesis on the short streams. aiohttp gives no future for the end of a connection that has already ended, and the code took that for nothing to wait for, so a reset before the look would have been lost.

The guard only removes the assumption; its test failed on the code before.

--- a/packages/cardamom-platform/src/cardamom_platform/answer_bodies.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_bodies.py
@@ -48,16 +48,19 @@
     An unframed body ends when its connection is closed, and aiohttp takes a
     reset for a regular close; the future raises for a reset.  Returns None
     for a framed answer.  Raises ClientPayloadError if the connection has
-    already been released.
+    already ended or been released, as its end is then unknown.
     """
     if framing(response) is not Framing.CONNECTION_END:
         return None
     connection = response.connection
-    if connection is None or connection.protocol is None:
+    protocol = connection.protocol if connection is not None else None
+    end: asyncio.Future[None] | None = (
+        None if protocol is None else protocol.closed
+    )
+    if end is None:
         raise aiohttp.ClientPayloadError(
-            "the connection of an unframed answer has been released"
+            "it is unknown how the connection of an unframed answer ended"
         )
-    end: asyncio.Future[None] | None = connection.protocol.closed
     return end
 
 
