--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -173,7 +173,8 @@
     ``started_ms`` is the wall time of its start, which distinguishes its
     incarnations; ``entry_sequence`` is the number of entries that it has
     written since.  ``residents`` are the loaded models and adapters, each
-    adapter with its model.
+    adapter with its model.  ``software_version`` is that of the replica's
+    software, not of the weights; a stream can't go on at another one.
     """
 
     id: ids.TargetId
@@ -187,6 +188,7 @@
     residents: frozenset[ModelAndAdapter]
     in_host_memory: frozenset[str]
     on_disk: frozenset[str]
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
@@ -224,7 +226,9 @@
     ``prompt_parts`` are in order, with their numbers of tokens; the last part
     belongs to the request's session.  ``prompt_tokens`` is None if the request
     does not state its size.  ``answer_tokens`` is the maximum for the answer
-    and ``expected_tokens`` the caller's estimate.
+    and ``expected_tokens`` the caller's estimate.  A caller that takes a
+    broken-off stream up names in ``resumed_attempt`` its attempt that got the
+    first event, and in ``last_event`` the last event that it has.
     """
 
     attempt: ids.AttemptId
@@ -237,6 +241,7 @@
     expected_tokens: int
     prompt_parts: tuple[tuple[PartId, int], ...]
     last_event: str
+    resumed_attempt: ids.AttemptId = ids.AttemptId("")
 
     @property
     def model_and_adapter(self) -> ModelAndAdapter:
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -220,6 +220,7 @@
                 target=target.id,
                 service=target.service,
                 address=target.address,
+                software=target.software_version,
                 state=target.state.value,
             )
         elif (
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -64,6 +64,7 @@
     def test_complete_entry_is_decoded(self) -> None:
         """Guards against misplaced fields and errors for unknown fields."""
         target = targets.decode_entry("i-1", ENTRY)
+        assert target.software_version == "v1"
         assert target.id == "i-1"
         assert target.state is model.TargetState.READY
         assert target.residents == {("daka", ""), ("daka", "a1")}
