Test that streams keep to the software version that began them

Callers got streams with events of two software versions, in one answer and over their tries at two instances.

--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -101,6 +101,10 @@
         self.version_by_removed.pop((table, key), None)
         self._notify()
 
+    def raw(self, table: str, key: str) -> bytes:
+        """Return the value of a row."""
+        return self.row_by_name[(table, key)][0]
+
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
         self.version += 1
@@ -236,6 +240,7 @@
         self.name = name
         self.service = service
         self.state = "ready"
+        self.software = "v1"
         self.behaviour: Behaviour = answer_at_once
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
         self.orders: list[dict[str, typing.Any]] = []
@@ -258,7 +263,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "bog-a",
-            "version": "v1",
+            "version": self.software,
             "slots": 6,
             "state": self.state,
             "cold_remaining_ms": 0,
--- /dev/null
+++ b/tests/wire/test_software_versions.py
@@ -0,0 +1,159 @@
+"""Tests of streams while replicas of two software versions serve."""
+
+import asyncio
+import functools
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from tests.wire import scenarios
+from tests.wire import standins
+
+EVENTS = 5
+EVENTS_BEFORE_BREAK = 2
+
+
+async def break_new_streams(
+    replica: standins.ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Send events that name the replica's version; reset a new stream."""
+    answer = await standins.begin_stream(request)
+    last_event = int(request.headers.get("Last-Event-Id", "0"))
+    for number in range(last_event + 1, EVENTS + 1):
+        if not last_event and number > EVENTS_BEFORE_BREAK:
+            await asyncio.sleep(0.02)
+            standins.reset(request)
+            return answer
+        await answer.write(
+            f"id: {number}\ndata: {replica.software}\n\n".encode()
+        )
+    await answer.write_eof()
+    return answer
+
+
+async def serve_versions(
+    deployment: standins.Deployment, *versions: str
+) -> None:
+    """Give each engine a version and wait until all gateways know it."""
+    for engine, version in zip(deployment.replicas, versions, strict=True):
+        engine.software = version
+        engine.behaviour = break_new_streams
+        deployment.register(engine)
+    await standins.wait_until(
+        lambda: all(
+            [
+                gateway.state.targets.by_id[engine.name].target
+                for engine in deployment.replicas
+            ]
+            == [
+                gateway.state.codec.decode_target(
+                    engine.name, deployment.store.raw("servers", engine.name)
+                )
+                for engine in deployment.replicas
+            ]
+            for gateway in deployment.gateways
+        )
+    )
+
+
+async def read_pieces(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    attempt: str,
+    number: int = 0,
+    **headers: str,
+) -> tuple[list[str], bool]:
+    """Return the versions in a stream's events, and whether it is whole."""
+    received = b""
+    is_whole = True
+    async with session.post(
+        deployment.url("/chat/a", number),
+        headers=scenarios.headers(attempt, **headers)
+        | scenarios.model_headers("m1"),
+    ) as answer:
+        assert answer.status == 200
+        try:
+            async for data in answer.content.iter_any():
+                received += data
+        except aiohttp.ClientPayloadError:
+            is_whole = False
+    lines = received.decode().splitlines()
+    return [
+        line.removeprefix("data: ") for line in lines if line[:4] == "data"
+    ], is_whole
+
+
+class TestOneAnswer:
+    """Streams that the gateway itself resumes."""
+
+    def test_stream_is_not_resumed_at_another_software_version(self) -> None:
+        """An answer held events of two software versions."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v2")
+            versions, is_whole = await read_pieces(deployment, session, "a1")
+            assert len(versions) == EVENTS_BEFORE_BREAK
+            assert len(set(versions)) == 1
+            assert not is_whole
+
+        run = functools.partial(scenarios.run_scenario, plain=0, engines=2)
+        run(scenario)
+
+    def test_stream_is_resumed_at_its_software_version(self) -> None:
+        """A stream could end although its version was still served."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v2", "v1", "v2")
+            for number in range(8):
+                versions, is_whole = await read_pieces(
+                    deployment, session, f"a{number}"
+                )
+                assert is_whole
+                assert len(versions) == EVENTS
+                assert len(set(versions)) == 1
+
+        run = functools.partial(scenarios.run_scenario, plain=0, engines=4)
+        run(scenario)
+
+
+class TestTakenUpStreams:
+    """Streams that callers take up again at another instance."""
+
+    @pytest.mark.parametrize("is_first_instance_closed", [False, True])
+    def test_stream_is_not_taken_up_at_another_software_version(
+        self, is_first_instance_closed: bool
+    ) -> None:
+        """A caller's tries got events of two software versions."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v2")
+            begun = [
+                await read_pieces(deployment, session, f"a{number}")
+                for number in range(8)
+            ]
+            assert not any(is_whole for _, is_whole in begun)
+            if is_first_instance_closed:
+                await deployment.gateways[0].close()
+            for number, (versions, _) in enumerate(begun):
+                rest, is_whole = await read_pieces(
+                    deployment,
+                    session,
+                    f"b{number}",
+                    1,
+                    Resumes=f"a{number}",
+                    Last_Event_Id=str(EVENTS_BEFORE_BREAK),
+                )
+                assert is_whole
+                assert set(rest) == set(versions)
+
+        run = functools.partial(
+            scenarios.run_scenario, plain=0, engines=2, gateways=4
+        )
+        run(scenario)
