Resume a stream only at the software version that began it

Callers got answers with events of replicas of two software versions, and what two versions write doesn't fit together.

Cause: a target's software version was not part of the choice of a target, so a stream that broke off was resumed at any engine with its model.

A call now keeps the version of the target that sent its first event, and goes on only at targets of it; if there is no untried one, the answer is broken off at once. An attempt that broke off before its first event goes to any version.

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -41,6 +41,8 @@
 
     ``charged_cost`` is in tokens or requests, as the team's rate;
     ``sent_attempts`` leaves out attempts that could not connect.
+    ``software_version`` is that of the target that began the stream, None
+    before the first event.
     """
 
     request: web.BaseRequest
@@ -63,6 +65,7 @@
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     answer: web.StreamResponse | None = None
     first_byte_ms: int | None = None
+    software_version: str | None = None
     last_target: str = outcomes.NO_PEER
     last_failure: str = ""
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -201,7 +201,9 @@
         Raises RequestRefused if there is none, or if it would answer too late.
         """
         if call.service.engine is None:
-            records = self._state.targets.of_service(call.service.id)
+            records = _with_software(
+                call, self._state.targets.of_service(call.service.id)
+            )
             return self._choose_record(call, records, None)
         spec = call.service.engine.model_by_name.get(call.head.model)
         if spec is None:
@@ -249,9 +251,11 @@
     ) -> list[target_registry.TargetRecord]:
         """Return the untried targets with a model, waiting for a load.
 
-        Raises RequestRefused if the model would be loaded too late.
+        Raises RequestRefused if the model would be loaded too late, or if no
+        untried target has the software version that began the stream.
         """
         state = self._state
+        self._check_software(call)
         wait_end_ms = self._wait_end_ms(call)
         records = self._untried(call, model_name)
         if records:
@@ -302,7 +306,35 @@
         records = self._state.targets.targets_with_model(
             call.service.id, model_name
         )
-        return [r for r in records if r.target.id not in call.tried_targets]
+        return [
+            record
+            for record in _with_software(call, records)
+            if record.target.id not in call.tried_targets
+        ]
+
+    def _check_software(self, call: admission.Call) -> None:
+        """Raise RequestRefused if no target can continue the stream."""
+        if call.software_version is None:
+            return
+        records = _with_software(
+            call, self._state.targets.of_service(call.service.id)
+        )
+        if any(r.target.id not in call.tried_targets for r in records):
+            return
+        message = (
+            "no other target has software version "
+            f"{call.software_version!r}, which began the stream"
+        )
+        if call.may_have_run:
+            raise _target_failed(
+                call, f"{call.last_failure}; {message}", outcomes.Step.ROUTE
+            )
+        raise admission.refused(
+            outcomes.Code.NO_TARGET,
+            message,
+            outcomes.Step.ROUTE,
+            retry_after_ms=target_registry.FIRST_SUSPECT_MS,
+        )
 
     def _model_wait_ms(self, call: admission.Call, model_name: str) -> float:
         """Return the predicted wait in ms for a model that is not loaded."""
@@ -552,6 +584,10 @@
             events = call.event_buffer.feed(data)
             if events:
                 attempt.note_first_event()
+                if call.software_version is None:
+                    call.software_version = (
+                        attempt.record.target.software_version
+                    )
                 answer = await self._start_answer(call, response)
                 await self._write(answer, events)
         await answer_bodies.wait_for_connection_end(connection_end)
@@ -709,6 +745,17 @@
         raise asyncio.CancelledError("the caller has disconnected") from error
 
 
+def _with_software(
+    call: admission.Call, records: list[target_registry.TargetRecord]
+) -> list[target_registry.TargetRecord]:
+    """Return the targets that can continue a call's stream."""
+    return [
+        record
+        for record in records
+        if call.software_version in (None, record.target.software_version)
+    ]
+
+
 def _note_sent(call: admission.Call) -> None:
     call.stage = admission.Stage.ANSWER
 
