Let callers resume a stream only at the software version that began it

Cause: the attempt that a caller names in its request to resume was not read, and no instance but the first one could know which version began the stream.

Change: the instance that relays a stream's first event reports its origin to three owners before the event, while the service has several versions; streams begun before another version appears are reported then. The instance that is asked for the rest asks the owners. Without a report the version is known only if all targets of the last 60 s had one, which the lease holder stores for a restart of all.

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -27,6 +27,7 @@
 class Stage(enum.Enum):
     """What a request waits for."""
 
+    ORIGIN = "origin"
     TARGET = "target"
     MODEL = "model"
     ADAPTER = "adapter"
--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -14,6 +14,7 @@
 | ``m`` | demand by model |
 | ``s``, ``sc`` | requests suspected of crashing targets; those cleared |
 | ``g`` | targets that are leaving or removed |
+| ``v`` | streams by the service and software version that began them |
 | ``h`` | changes of what engines hold |
 """
 
@@ -29,6 +30,7 @@
 from cardamom_gateway import leaving_reports
 from cardamom_gateway import peers
 from cardamom_gateway import state as state_module
+from cardamom_gateway import stream_origins
 from cardamom_gateway import suspect_reports
 from cardamom_gateway import target_registry
 
@@ -80,6 +82,15 @@
             self._clock, state.targets, self.link, self._base_update
         )
         state.targets.on_leaving = self.leaving.report
+        self.origins = stream_origins.StreamOrigins(
+            state.settings.instance,
+            self._clock,
+            state.targets,
+            self.link,
+            self._base_update,
+            is_store_reached,
+        )
+        state.targets.on_software = self.origins.report_all
 
     def gather_update(self, audience: peers.Audience) -> peers.StateUpdate:
         """Return the recent changes that a kind of peer needs."""
@@ -145,6 +156,7 @@
                 is_older_peer=update["up"] - self._up_ms() > MIN_START_GAP_MS,
             )
         self.leaving.receive(update)
+        self.origins.receive(update)
         if "l" in update:
             self._receive_load(incarnation, update["l"])
         if "m" in update:
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -20,6 +20,7 @@
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import state as state_module
+from cardamom_gateway import stream_origins
 from cardamom_gateway import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.forward")
@@ -35,6 +36,10 @@
 ADAPTER_RETRY_MS = 120
 MS_PER_S = 1000
 
+OriginFinder = typing.Callable[
+    [ids.AttemptId, model.ServiceId],
+    typing.Awaitable[stream_origins.Origin | None],
+]
 AdapterLoader = typing.Callable[
     [model.Target, str, str], typing.Awaitable[bool]
 ]
@@ -52,6 +57,10 @@
         report_waiting: typing.Callable[[], None],
         report_rates: typing.Callable[[], None],
         on_cleared: typing.Callable[[str], None],
+        find_origin: OriginFinder,
+        on_stream_begun: typing.Callable[
+            [ids.AttemptId, stream_origins.Origin], None
+        ],
     ) -> None:
         self._state = state
         self._admission = admission.Admission(state, report_rates)
@@ -60,6 +69,8 @@
         self._on_broken_attempt = on_broken_attempt
         self._report_waiting = report_waiting
         self._on_cleared = on_cleared
+        self._find_origin = find_origin
+        self._on_stream_begun = on_stream_begun
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -120,6 +131,8 @@
             ) from None
 
     async def _serve(self, call: admission.Call) -> web.StreamResponse:
+        if call.route.is_resumable and call.head.last_event:
+            await self._set_origin(call)
         while True:
             record, choice = await self._select_target(call)
             if call.sent_attempts and not self._state.take_retry(
@@ -136,6 +149,31 @@
                 if not self._may_retry(call, failure):
                     return self._end_failed_call(call, failure.reason)
 
+    async def _set_origin(self, call: admission.Call) -> None:
+        """Set service and software version of a stream that is resumed.
+
+        Raises RequestRefused if the version can't be known, since a stream
+        must not go on at another one.
+        """
+        call.stage = admission.Stage.ORIGIN
+        origin = await self._find_origin(
+            call.head.resumed_attempt, call.service.id
+        )
+        if origin is None:
+            raise admission.refused(
+                outcomes.Code.NO_TARGET,
+                "it is unknown which software version began the stream",
+                outcomes.Step.ROUTE,
+                retry_after_ms=refusals.MIN_RETRY_AFTER_MS,
+            )
+        configuration = self._state.configuration
+        assert configuration is not None
+        services = configuration.service_by_id
+        if any(s.service == origin.service for s in call.route.splits):
+            call.service = services.get(origin.service, call.service)
+        if call.service.id == origin.service:
+            call.software_version = origin.software_version
+
     def _may_retry(
         self, call: admission.Call, failure: attempts.AttemptFailed
     ) -> bool:
@@ -584,10 +622,7 @@
             events = call.event_buffer.feed(data)
             if events:
                 attempt.note_first_event()
-                if call.software_version is None:
-                    call.software_version = (
-                        attempt.record.target.software_version
-                    )
+                self._note_begun(call, attempt)
                 answer = await self._start_answer(call, response)
                 await self._write(answer, events)
         await answer_bodies.wait_for_connection_end(connection_end)
@@ -604,6 +639,20 @@
         self._count(call.route.kind.value, response.status, "answered")
         return answer
 
+    def _note_begun(
+        self, call: admission.Call, attempt: attempts.Attempt
+    ) -> None:
+        """Record the origin of a stream before its first event is relayed."""
+        if call.software_version is not None:
+            return
+        target = attempt.record.target
+        call.software_version = target.software_version
+        if call.route.is_resumable:
+            self._on_stream_begun(
+                call.head.attempt,
+                stream_origins.Origin(target.service, target.software_version),
+            )
+
     async def _start_answer(
         self, call: admission.Call, response: aiohttp.ClientResponse
     ) -> web.StreamResponse:
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -30,6 +30,7 @@
 from cardamom_gateway import relayed_tables
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import state as state_module
+from cardamom_gateway import stream_origins
 from cardamom_gateway import target_watch
 from cardamom_gateway import usage
 
@@ -38,6 +39,8 @@
 USAGE_KEY = "usage"
 # A team's usage grows by a tenth of its window in this time.
 USAGE_PERIOD_MS = 700
+SOFTWARE_KEY = "software"
+SOFTWARE_PERIOD_MS = 700
 MEMBER_PREFIX = "instance/"
 REGISTER_RETRY_MS = 500
 # The store sends entries in batches, and calls to it are charged for.
@@ -123,6 +126,7 @@
             self._versions,
             self._load_adapter_here,
             self.exchange.holdings.snapshot,
+            self.exchange.origins,
         )
         self.lease = leases.Lease(
             relayed_tables.RelayedTable(
@@ -163,6 +167,8 @@
             self._report_waiting,
             self.exchange.report_rates,
             self.exchange.suspects.note_cleared,
+            self._find_origin,
+            self.exchange.origins.note_begun,
         )
         topics = interfaces.Topic
         self.configurations = self._follower(
@@ -230,6 +236,7 @@
         )
         start_periodic("members", MEMBERS_PERIOD_MS, self._update_members)
         start_periodic("usage", USAGE_PERIOD_MS, self._store_usage)
+        start_periodic("software", SOFTWARE_PERIOD_MS, self._store_software)
         start_periodic(
             "watch", WATCH_PERIOD_MS, self.target_watch.check_targets
         )
@@ -380,6 +387,8 @@
         for change in changes.changes:
             if change.key == USAGE_KEY:
                 self._apply_stored_usage(change.value)
+            elif change.key == SOFTWARE_KEY:
+                self._apply_stored_software(change.value)
             elif change.key.startswith(MEMBER_PREFIX):
                 name = change.key.removeprefix(MEMBER_PREFIX)
                 if change.value is None:
@@ -415,6 +424,28 @@
             }
         )
 
+    def _apply_stored_software(self, value: bytes | None) -> None:
+        """Apply the software versions that a holder of the lease stored."""
+        if value is None:
+            return
+        try:
+            versions = stream_origins.decode_versions(value)
+        except (ValueError, TypeError) as error:
+            LOG.warning(
+                "gateway: stored versions not usable", error=str(error)
+            )
+            return
+        self.exchange.origins.stored_versions_by_service = versions
+
+    async def _store_software(self) -> None:
+        """Store the targets' software versions when they have changed."""
+        if not self.placer.is_holder or not self.fleet.is_reached:
+            return
+        versions = self.exchange.origins.versions_to_store()
+        if versions is not None:
+            row = stream_origins.encode_versions(versions)
+            await self._table.commit({}, {SOFTWARE_KEY: row})
+
     async def _store_usage(self) -> None:
         """Store the usage of teams near their limits, for later starts."""
         configuration, now_ms = self.state.configuration, self.clock.now_ms()
@@ -481,6 +512,13 @@
 
     # Exchange with peers.
 
+    async def _find_origin(
+        self, attempt: ids.AttemptId, service: model.ServiceId
+    ) -> stream_origins.Origin | None:
+        return await self.exchange.origins.find(
+            attempt, service, self.peer_calls.ask_origin
+        )
+
     def _versions(self) -> dict[str, int]:
         configuration = self.state.configuration
         return {
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import typing
+import urllib.parse
 
 import aiohttp
 from aiohttp import web
@@ -12,13 +13,17 @@
 from cardamom_kernel import ids
 from cardamom_kernel import tables
 
+from cardamom_gateway import model
 from cardamom_gateway import peers
 from cardamom_gateway import sockets
 from cardamom_gateway import state as state_module
+from cardamom_gateway import stream_origins
 
 LOG = structlog.get_logger("cardamom.gateway.peer_calls")
 
 TIMEOUT_S = 1.0  # leaves time to resend an order to an engine
+ORIGIN_TIMEOUT_S = 0.3  # a caller waits for the rest of its stream
+CONNECT_TIMEOUT_S = 0.3
 CALL_ERRORS = (
     aiohttp.ClientError,
     TimeoutError,
@@ -54,12 +59,14 @@
         versions: typing.Callable[[], dict[str, int]],
         load_adapter: AdapterLoader,
         holdings_snapshot: typing.Callable[[], dict[str, typing.Any]],
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._state = state
         self._table = table
         self._versions = versions
         self._load_adapter = load_adapter
         self._holdings_snapshot = holdings_snapshot
+        self._origins = origins
         self._session: aiohttp.ClientSession | None = None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -76,6 +83,11 @@
                 str(fields["adapter"]),
             )
             return web.Response(body=orjson.dumps({"there": is_loaded}))
+        if request.path == "/stream":
+            return self._answer_origin(
+                request.query.get("attempt", ""),
+                request.query.get("service", ""),
+            )
         if request.path == "/row" and request.method == "GET":
             return await self._answer_row(request.query.get("key", ""))
         if request.path == "/row" and request.method == "POST":
@@ -84,6 +96,44 @@
             )
         return web.Response(status=404)
 
+    def _answer_origin(self, attempt: str, service: str) -> web.Response:
+        known = self._origins.knowledge(
+            ids.AttemptId(attempt), model.ServiceId(service)
+        )
+        origin = known.origin
+        fields = {
+            "origin": [origin.service, origin.software_version]
+            if origin
+            else None,
+            "versions": sorted(known.versions),
+            "is_complete": known.is_complete,
+        }
+        return web.Response(body=orjson.dumps(fields))
+
+    async def ask_origin(
+        self,
+        peer: peers.Member,
+        attempt: ids.AttemptId,
+        service: model.ServiceId,
+    ) -> stream_origins.Knowledge | None:
+        """Ask a peer for the origin of a stream, None without an answer."""
+        query = urllib.parse.urlencode(
+            {"attempt": attempt, "service": service}
+        )
+        fields = await self._call(
+            "GET", peer, f"/stream?{query}", timeout_s=ORIGIN_TIMEOUT_S
+        )
+        if fields is None:
+            return None
+        origin = fields["origin"]
+        return stream_origins.Knowledge(
+            stream_origins.Origin(model.ServiceId(origin[0]), origin[1])
+            if origin
+            else None,
+            frozenset(fields["versions"]),
+            bool(fields["is_complete"]),
+        )
+
     async def _answer_row(self, key: str) -> web.Response:
         try:
             rows = await self._table.read_latest([key])
@@ -205,6 +255,7 @@
         peer: peers.Member,
         path: str,
         body: typing.Any = None,
+        timeout_s: float = TIMEOUT_S,
     ) -> dict[str, typing.Any] | None:
         """Return the fields of an answer, None without a good answer."""
         if self._session is None:
@@ -214,9 +265,6 @@
                     keepalive_timeout=20,
                     socket_factory=sockets.open_keepalive_socket,
                 ),
-                timeout=aiohttp.ClientTimeout(
-                    total=TIMEOUT_S, sock_connect=0.3
-                ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
         try:
@@ -224,6 +272,9 @@
                 method,
                 f"http://{peer.host}:{peer.port}{path}",
                 data=orjson.dumps(body) if body is not None else None,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
+                ),
             ) as answer:
                 if answer.status != 200:
                     return None
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -22,6 +22,8 @@
 RETURN_GRACE_MS = 1_900  # entries that expired in an outage return in it
 MAX_HOLDINGS_AGE_MS = 5_000  # older holdings from the lease holder are ignored
 MAX_PEER_LOAD_AGE_MS = 1_500  # a peer's older load is not counted
+# Streams that a former software version began may still be resumed.
+SOFTWARE_RETENTION_MS = 60_000
 
 
 @dataclasses.dataclass
@@ -179,10 +181,16 @@
     """Serve as default for ``on_leaving``."""
 
 
+def _ignore_service(service: model.ServiceId) -> None:
+    """Serve as default for ``on_software``."""
+
+
 class TargetRegistry:
     """All targets by id.
 
-    ``on_leaving`` is called with a target that begins to leave or is removed.
+    ``on_leaving`` is called with a target that begins to leave or is removed,
+    and ``on_software`` with a service whose targets have got another software
+    version.
     """
 
     def __init__(
@@ -194,6 +202,10 @@
         self.cache_tokens_by_service: dict[model.ServiceId, int] = {}
         self._changed = asyncio.Event()
         self.on_leaving: typing.Callable[[model.Target], None] = _do_nothing
+        self.on_software: typing.Callable[[model.ServiceId], None] = (
+            _ignore_service
+        )
+        self._software_seen_ms: dict[tuple[model.ServiceId, str], int] = {}
 
     def put(self, target: model.Target, raw: bytes = b"") -> None:
         """Add or update a target; a restart begins a new record.
@@ -207,6 +219,9 @@
             and record.target.entry_sequence > target.entry_sequence
         ):
             return  # an older entry that arrived late
+        if record is not None:
+            self._note_software(record.target)  # a restart may change it
+        is_new_software = self._is_new_software(target)
         if (
             record is None
             or record.target.incarnation != target.incarnation
@@ -241,6 +256,9 @@
         record.target = target
         record.raw = raw
         record.expired_ms = None
+        self._note_software(target)
+        if is_new_software:
+            self.on_software(target.service)
         self.notify()
 
     def remove(self, target_id: ids.TargetId, reachable_since_ms: int) -> None:
@@ -258,7 +276,7 @@
             LOG.info("targets: lapsed", target=target_id)
             return
         self._report_leaving(record)
-        del self.by_id[target_id]
+        self._delete(record)
         LOG.info("targets: gone", target=target_id)
 
     def remove_absent(
@@ -279,9 +297,49 @@
                 record.expired_ms is not None
                 and now_ms - record.expired_ms >= RETURN_GRACE_MS
             ):
-                del self.by_id[target_id]
+                self._delete(record)
                 LOG.info("targets: gone after an outage", target=target_id)
 
+    def _delete(self, record: TargetRecord) -> None:
+        self._note_software(record.target)
+        del self.by_id[record.target.id]
+
+    def _note_software(self, target: model.Target) -> None:
+        """Record when a software version of a service was last seen."""
+        key = (target.service, target.software_version)
+        self._software_seen_ms[key] = self._clock.now_ms()
+
+    def _is_new_software(self, target: model.Target) -> bool:
+        """Return whether a target adds a software version to others."""
+        key = (target.service, target.software_version)
+        seen_ms = self._software_seen_ms.get(key, clocks.NEVER_MS)
+        if self._clock.now_ms() - seen_ms <= SOFTWARE_RETENTION_MS:
+            return False
+        others = self.recent_software(target.service)
+        return bool(others - {target.software_version})
+
+    def services(self) -> set[model.ServiceId]:
+        """Return the services that have, or have had, targets."""
+        return {service for service, _ in self._software_seen_ms}
+
+    def recent_software(self, service: model.ServiceId) -> frozenset[str]:
+        """Return the software versions of a service's targets.
+
+        Versions whose last target has been gone for SOFTWARE_RETENTION_MS
+        are left out.
+        """
+        now_ms = self._clock.now_ms()
+        present = {
+            record.target.software_version
+            for record in self.by_id.values()
+            if record.target.service == service
+        }
+        return frozenset(present) | {
+            version
+            for (other, version), at_ms in self._software_seen_ms.items()
+            if other == service and now_ms - at_ms <= SOFTWARE_RETENTION_MS
+        }
+
     def note_holdings(
         self, target_id: ids.TargetId, holdings: holdings_module.Holdings
     ) -> None:
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -481,6 +481,20 @@
         """Return the URL of a path at a gateway."""
         return f"http://{self.gateways[number].settings.callers}{path}"
 
+    async def start_gateway(self) -> gateway_module.Gateway:
+        """Start one more gateway."""
+        gateway = gateway_module.Gateway(
+            plugin.ConsorcioPlatform(),
+            make_settings(len(self.gateways), self.store),
+        )
+        # The start is moved back beyond the sliding windows, so that their
+        # counts are complete.
+        gateway.state.rates._started_ms -= 20_000
+        gateway.state.retries._started_ms -= 20_000
+        self.gateways.append(gateway)
+        await gateway.start()
+        return gateway
+
     def register(self, replica: ReplicaStandIn) -> None:
         """Write a replica's entry to the store."""
         self.store.put("servers", replica.name, replica.entry())
@@ -534,18 +548,9 @@
     for replica in replicas:
         await replica.start()
         deployment.register(replica)
-    platform = plugin.ConsorcioPlatform()
     try:
-        for number in range(gateways):
-            gateway = gateway_module.Gateway(
-                platform, make_settings(number, store)
-            )
-            # The start is moved back beyond the sliding windows, so that their
-            # counts are complete.
-            gateway.state.rates._started_ms -= 20_000
-            gateway.state.retries._started_ms -= 20_000
-            deployment.gateways.append(gateway)
-            await gateway.start()
+        for _ in range(gateways):
+            await deployment.start_gateway()
         await wait_until(
             lambda: all(
                 gateway.is_ready
--- a/tests/wire/test_software_versions.py
+++ b/tests/wire/test_software_versions.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import pytest
 
+from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -157,3 +158,58 @@
             scenarios.run_scenario, plain=0, engines=2, gateways=4
         )
         run(scenario)
+
+    def test_stream_of_unknown_origin_is_refused_while_versions_differ(
+        self,
+    ) -> None:
+        """A stream could go on at a version that didn't begin it."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v2")
+            head = scenarios.headers("b1", Resumes="a1", Last_Event_Id="2")
+            async with session.post(
+                deployment.url("/chat/a"),
+                headers=head | scenarios.model_headers("m1"),
+            ) as answer:
+                assert answer.status == 503
+                assert float(answer.headers["Retry-After"]) > 0
+            assert not any(e.requests for e in deployment.replicas)
+
+        run = functools.partial(
+            scenarios.run_scenario, plain=0, engines=2, gateways=2
+        )
+        run(scenario)
+
+    def test_stream_goes_on_after_a_restart_of_all_instances(self) -> None:
+        """Callers lost their streams although only one version served."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v1")
+            await standins.wait_until(
+                lambda: any(
+                    key == gateway_module.SOFTWARE_KEY
+                    for _, key in deployment.store.row_by_name
+                )
+            )
+            await deployment.gateways[0].close()
+            restarted = await deployment.start_gateway()
+            await standins.wait_until(
+                lambda: (
+                    restarted.is_ready
+                    and len(restarted.state.targets.by_id) == 2
+                    and restarted.exchange.origins.stored_versions_by_service
+                    is not None
+                )
+            )
+            versions, is_whole = await read_pieces(
+                deployment, session, "b1", 1, Resumes="a1", Last_Event_Id="2"
+            )
+            assert is_whole
+            assert versions == ["v1"] * (EVENTS - EVENTS_BEFORE_BREAK)
+
+        run = functools.partial(scenarios.run_scenario, plain=0, engines=2)
+        run(scenario)
