Resume a stream at its own target if no other has its version

With the choice narrowed to one software version, a stream whose connection was reset ended at its caller although its target went on: no other target of the version held the model. A target that was reached and whose answer broke off may now be tried again by a stream, if no other target of its version with the model is left. The limit of attempts stays; a target that can't be reached isn't tried again this way.

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -43,7 +43,8 @@
     ``charged_cost`` is in tokens or requests, as the team's rate;
     ``sent_attempts`` leaves out attempts that could not connect.
     ``software_version`` is that of the target that began the stream, None
-    before the first event.
+    before the first event.  ``broken_targets`` are the tried targets that
+    were reached, and whose answer broke off.
     """
 
     request: web.BaseRequest
@@ -64,6 +65,7 @@
     may_have_run: bool = False
     failed_connections: int = 0
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     answer: web.StreamResponse | None = None
     first_byte_ms: int | None = None
     software_version: str | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -196,9 +196,11 @@
         if failure.kind is attempts.FailureKind.NOT_CONNECTED:
             call.failed_connections += 1
             call.sent_attempts -= 1
+            call.broken_targets.discard(record.target.id)
             record.record_connect_failure(state.clock.now_ms())
         if failure.kind is attempts.FailureKind.BROKEN:
             call.may_have_run = True
+            call.broken_targets.add(record.target.id)
         if failure.kind is not attempts.FailureKind.NOT_RUN:
             record.note_outcome(has_failed=True)
         state.metrics.attempts.labels(
@@ -293,11 +295,16 @@
         untried target has the software version that began the stream.
         """
         state = self._state
-        self._check_software(call)
         wait_end_ms = self._wait_end_ms(call)
         records = self._untried(call, model_name)
+        if not records and call.software_version is not None:
+            # The targets of this version are few, and a broken connection
+            # doesn't mean that the target has failed.
+            call.tried_targets -= call.broken_targets
+            records = self._untried(call, model_name)
         if records:
             return records
+        self._check_software(call)
         call.stage = admission.Stage.MODEL
         with state.demand.waiting(model_name):
             self._report_waiting()
