Pass the counts of ended instances on to those that have just started

A team got more than its limit on real processes, while instances left and the store did not take their last writes.

Cause, as far as the stepped fleet shows it: an instance that starts knows what living peers have counted, and a stored profile of the rest. Without the profile (the store is away, or has an old one) it doesn't know what ended instances admitted within the window, and assumes up to 0.6 of the limit for all of them and the living together. In a series of restarts that leaves a part of the limit free at each new instance.

Change: up to three peers tell an instance, in its first window, what ended incarnations had counted, by incarnation and age; so nothing counts twice, and what one new instance has learned it can tell the next.

The operators' record doesn't name the requests, so that this was their case is only suspected. A restart of all instances at once without a profile is as before.

--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -14,6 +14,7 @@
 | ``m`` | demand by model |
 | ``s``, ``sc`` | requests suspected of crashing targets; those cleared |
 | ``g`` | targets that are leaving or removed |
+| ``e`` | counts of rates by ended incarnation, for one that has just started |
 | ``v`` | streams by the service and software version that began them |
 | ``h`` | changes of what engines hold |
 """
@@ -22,6 +23,8 @@
 import typing
 
 from cardamom_kernel import ids
+from cardamom_kernel import rendezvous
+from cardamom_policy import fleet_windows
 
 from cardamom_gateway import delays
 from cardamom_gateway import demand
@@ -37,6 +40,9 @@
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
 MIN_START_GAP_MS = 4_000  # processes restarted together start within it
 RATE_REPORT_DELAY_MS = 5  # combines the reports of simultaneous requests
+ENDED_COUNTS_PERIOD_MS = 400
+# Number of instances that pass ended counts on; one may not have all of them.
+ENDED_COUNTS_SENDERS = 3
 
 
 class Exchange:
@@ -155,6 +161,7 @@
                 now_ms,
                 is_older_peer=update["up"] - self._up_ms() > MIN_START_GAP_MS,
             )
+        state.rates.receive_ended(_decode_ended(update.get("e", {})), now_ms)
         self.leaving.receive(update)
         self.origins.receive(update)
         if "l" in update:
@@ -205,6 +212,33 @@
             self.link.some_members(), self._base_update() | {"q": changed}
         )
 
+    async def send_ended_counts(self) -> None:
+        """Tell instances that have just started what ended ones counted."""
+        young = [
+            peer.member
+            for peer in self.link.fresh_peers()
+            if peer.update["up"] < self._state.settings.rate_window_ms
+            and self._sends_ended_counts_to(peer.member)
+        ]
+        if not young:
+            return
+        ended = self._state.rates.ended_counts(self._clock.now_ms())
+        if ended:
+            self.link.send(
+                young, self._base_update() | {"e": _encode_ended(ended)}
+            )
+
+    def _sends_ended_counts_to(self, member: peers.Member) -> bool:
+        instance = self._state.settings.instance
+        candidates = [
+            peer.member.id
+            for peer in self.link.fresh_peers()
+            if peer.member.id != member.id
+        ]
+        return instance in rendezvous.owners(
+            member.id, [*candidates, instance], ENDED_COUNTS_SENDERS
+        )
+
     def _is_near_limit(self) -> bool:
         """Return whether any team is near the limit of its rate."""
         configuration, now_ms = self._state.configuration, self._clock.now_ms()
@@ -243,6 +277,33 @@
         )
 
 
+def _encode_ended(
+    counts_by_incarnation: typing.Mapping[str, fleet_windows.CountsByKey],
+) -> dict[str, typing.Any]:
+    return {
+        incarnation: {
+            key: [round(count.total), [round(a) for a in count.amounts]]
+            for key, count in count_by_key.items()
+        }
+        for incarnation, count_by_key in counts_by_incarnation.items()
+    }
+
+
+def _decode_ended(
+    fields: dict[str, typing.Any],
+) -> dict[str, fleet_windows.CountsByKey]:
+    """Decode ended counts; raises TypeError, ValueError or IndexError."""
+    return {
+        incarnation: {
+            key: fleet_windows.EndedCount(
+                float(count[0]), tuple(map(float, count[1]))
+            )
+            for key, count in count_by_key.items()
+        }
+        for incarnation, count_by_key in fields.items()
+    }
+
+
 def _rounded(
     count_by_key: dict[str, tuple[float, float]],
 ) -> dict[str, tuple[int, int]]:
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -236,6 +236,11 @@
         )
         start_periodic("members", MEMBERS_PERIOD_MS, self._update_members)
         start_periodic("usage", USAGE_PERIOD_MS, self._store_usage)
+        start_periodic(
+            "ended counts",
+            exchange.ENDED_COUNTS_PERIOD_MS,
+            self.exchange.send_ended_counts,
+        )
         start_periodic("software", SOFTWARE_PERIOD_MS, self._store_software)
         start_periodic(
             "watch", WATCH_PERIOD_MS, self.target_watch.check_targets
--- a/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
+++ b/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
@@ -7,6 +7,9 @@
 the same fixed share, so the sum over both sides of a network partition stays
 within the limit.
 
+An instance that has just started doesn't know the counts of instances that
+ended before; its peers pass these on (``ended_counts``).
+
 Counts are reported again as soon as the unreported amount could matter
 (``is_report_due``).  What peers have counted since their last report is
 estimated from their rate during the second before it.
@@ -111,6 +114,21 @@
                 )
 
 
+@dataclasses.dataclass(frozen=True)
+class EndedCount:
+    """What an ended incarnation counted for a key.
+
+    ``total`` is its running total, and ``amounts`` what of it lies in the
+    window, as in a profile.
+    """
+
+    total: float
+    amounts: tuple[float, ...]
+
+
+CountsByKey = typing.Mapping[str, EndedCount]
+
+
 @dataclasses.dataclass
 class _Peer:
     received_ms: int
@@ -164,17 +182,20 @@
 
     def profile(self, key: str, now_ms: int) -> Profile:
         """Return what all instances have counted within the window."""
+        return Profile(now_ms, self._amounts(self._sums(key), now_ms))
+
+    def _amounts(
+        self, parts: typing.Sequence[SlidingSum], now_ms: int
+    ) -> tuple[float, ...]:
+        """Return the amounts of some sums by age, the latest first."""
         steps = self._window_ms // PROFILE_STEP_MS
         starts = [now_ms - n * PROFILE_STEP_MS for n in range(steps + 1)]
         sums = [
-            sum(counted.sum_since(start_ms) for counted in self._sums(key))
+            sum(counted.sum_since(start_ms) for counted in parts)
             for start_ms in starts
         ]
-        return Profile(
-            now_ms,
-            tuple(
-                later - earlier for earlier, later in itertools.pairwise(sums)
-            ),
+        return tuple(
+            later - earlier for earlier, later in itertools.pairwise(sums)
         )
 
     def _sums(self, key: str) -> list[SlidingSum]:
@@ -227,6 +248,51 @@
             if growth:
                 counted.add(growth, now_ms)
 
+    def ended_counts(self, now_ms: int) -> dict[str, CountsByKey]:
+        """Return what ended incarnations of peers had counted.
+
+        Those are incarnations with a successor, and silent ones.
+        """
+        latest_ms: dict[str, int] = {}
+        for incarnation, peer in self._peer_by_id.items():
+            member = _member_of(incarnation)
+            latest_ms[member] = max(latest_ms.get(member, 0), peer.received_ms)
+        counts_by_incarnation = {
+            incarnation: {
+                key: EndedCount(
+                    counted.total, self._amounts([counted], now_ms)
+                )
+                for key, counted in peer.sum_by_key.items()
+                if counted.sum(now_ms) > 0
+            }
+            for incarnation, peer in self._peer_by_id.items()
+            if peer.received_ms < latest_ms[_member_of(incarnation)]
+            or now_ms - peer.received_ms > NEAR_LIMIT_FRESH_MS
+        }
+        return {i: c for i, c in counts_by_incarnation.items() if c}
+
+    def receive_ended(
+        self,
+        counts_by_incarnation: typing.Mapping[str, CountsByKey],
+        now_ms: int,
+    ) -> None:
+        """Receive what a peer knows of ended incarnations.
+
+        Counts that this instance has received itself are kept.
+        """
+        for incarnation, count_by_key in counts_by_incarnation.items():
+            peer = self._peer_by_id.setdefault(
+                incarnation, _Peer(now_ms - REPORT_FRESH_MS - 1)
+            )
+            for key, count in count_by_key.items():
+                if key in peer.sum_by_key:
+                    continue
+                counted = SlidingSum(self._window_ms)
+                Profile(now_ms, count.amounts).replay(counted)
+                counted.total = count.total
+                peer.sum_by_key[key] = counted
+                self._add_first_reported(key, counted.sum(now_ms), now_ms)
+
     def _add_first_reported(
         self, key: str, amount: float, now_ms: int
     ) -> None:
--- a/tests/policy/test_fleet_windows.py
+++ b/tests/policy/test_fleet_windows.py
@@ -73,6 +73,11 @@
                         self.now_ms,
                         is_older_peer=age_ms > MIN_START_GAP_MS,
                     )
+                    if self.now_ms - self.started_ms[receiver] < WINDOW_MS:
+                        window.receive_ended(
+                            self.windows[sender].ended_counts(self.now_ms),
+                            self.now_ms,
+                        )
 
     def run(self, duration_ms: int, per_step: float, seed: int) -> None:
         """Offer requests at random instances, with reports every 0.4 s."""
