Don't take streams without an id for each other

A caller's attempt without an id was recorded under the empty id, so the software version of one stream could be taken for that of another.

--- a/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
@@ -111,7 +111,7 @@
     def note_begun(self, attempt: ids.AttemptId, origin: Origin) -> None:
         """Record a stream whose first event is about to be relayed."""
         self._record(attempt, origin)
-        if len(self._versions(origin.service)) > 1:
+        if attempt and len(self._versions(origin.service)) > 1:
             self._report([attempt])
 
     def report_all(self, service: model.ServiceId) -> None:
@@ -214,6 +214,8 @@
         )
 
     def _record(self, attempt: ids.AttemptId, origin: Origin) -> None:
+        if not attempt:
+            return  # streams without an id can't be told apart
         now_ms = self._clock.now_ms()
         self._record_by_attempt.pop(attempt, None)
         self._record_by_attempt[attempt] = _Record(origin, now_ms)
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -155,6 +155,14 @@
         fleet.settle()
         assert fleet.find(3) is None
 
+    def test_streams_without_an_id_are_not_taken_for_each_other(self) -> None:
+        """A stream without an id could get the version of another one."""
+        fleet = Fleet(9, "v1", "v2")
+        fleet.origins[0].note_begun(ids.AttemptId(""), V2)
+        assert not fleet.network.queue
+        knowledge = fleet.origins[0].knowledge(ids.AttemptId(""), SERVICE)
+        assert knowledge.origin is None
+
     def test_former_version_counts_after_its_last_target_has_gone(
         self,
     ) -> None:
