--- a/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
@@ -182,15 +182,10 @@
         versions = frozenset(
             itertools.chain.from_iterable(k.versions for k in known)
         )
-        is_isolated = bool(owners) and known == [own]
+        is_isolated = bool(owners) and len(known) == 1
         origin = known[-1].origin
-        if (
-            origin is None
-            and len(versions) == 1
-            and any(k.is_complete for k in known)
-            and (self._is_store_reached() or not is_isolated)
-        ):
-            origin = Origin(service, *versions)
+        if origin is None and (self._is_store_reached() or not is_isolated):
+            origin = _only_possible_origin(service, versions, known)
         LOG.info(
             "streams: origin",
             resumes=attempt,
@@ -273,6 +268,17 @@
         return [members[owner] for owner in owners if owner in members]
 
 
+def _only_possible_origin(
+    service: model.ServiceId,
+    versions: frozenset[str],
+    known: typing.Iterable[Knowledge],
+) -> Origin | None:
+    """Return the origin if all recent targets had one version, else None."""
+    if len(versions) != 1 or not any(k.is_complete for k in known):
+        return None
+    return Origin(service, *versions)
+
+
 async def _answers(
     questions: list[typing.Coroutine[typing.Any, typing.Any, Answer]],
 ) -> list[Knowledge]:
