--- a/tests/wire/test_endless_answers.py
+++ b/tests/wire/test_endless_answers.py
@@ -118,6 +118,23 @@
         run(scenario)
 
 
+async def _fail_in_time(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    path: str,
+    endless: EndlessAnswer,
+) -> None:
+    """Call a path; the call must fail, at the latest with its deadline."""
+    for replica in deployment.replicas:
+        replica.behaviour = endless
+    started_s = time.monotonic()
+    head = scenarios.headers("a1", **scenarios.model_headers("m1"))
+    async with session.post(deployment.url(path), headers=head) as answer:
+        assert answer.status in (502, 504)
+        await answer.read()
+    assert time.monotonic() - started_s < DEADLINE_S + 1
+
+
 class TestEndlessAnswers:
     """What callers get, and how much is read of such an answer."""
 
@@ -142,16 +159,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            for replica in deployment.replicas:
-                replica.behaviour = endless
-            started_s = time.monotonic()
-            head = scenarios.headers("a1", **scenarios.model_headers("m1"))
-            async with session.post(
-                deployment.url(path), headers=head
-            ) as answer:
-                assert answer.status in (502, 504)
-                await answer.read()
-            assert time.monotonic() - started_s < DEADLINE_S + 1
+            await _fail_in_time(deployment, session, path, endless)
             await asyncio.sleep(0.1)
             limit_bytes = answer_bodies.MAX_ANSWER_BYTES + BUFFER_BYTES
             assert endless.sent_bytes <= limit_bytes
@@ -169,16 +177,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            for replica in deployment.replicas:
-                replica.behaviour = endless
-            started_s = time.monotonic()
-            head = scenarios.headers("a1", **scenarios.model_headers("m1"))
-            async with session.post(
-                deployment.url(path), headers=head
-            ) as answer:
-                assert answer.status in (502, 504)
-                await answer.read()
-            assert time.monotonic() - started_s < DEADLINE_S + 1
+            await _fail_in_time(deployment, session, path, endless)
 
         run = functools.partial(scenarios.run_scenario, plain=1, engines=1)
         run(scenario)
--- a/tests/wire/test_software_versions.py
+++ b/tests/wire/test_software_versions.py
@@ -78,8 +78,9 @@
     is_whole = True
     async with session.post(
         deployment.url("/chat/a", number),
-        headers=scenarios.headers(attempt, **headers)
-        | scenarios.model_headers("m1"),
+        headers=scenarios.headers(
+            attempt, **headers, **scenarios.model_headers("m1")
+        ),
     ) as answer:
         assert answer.status == 200
         try:
@@ -194,10 +195,14 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             await serve_versions(deployment, "v1", "v2")
-            head = scenarios.headers("b1", Resumes="a1", Last_Event_Id="2")
+            head = scenarios.headers(
+                "b1",
+                Resumes="a1",
+                Last_Event_Id="2",
+                **scenarios.model_headers("m1"),
+            )
             async with session.post(
-                deployment.url("/chat/a"),
-                headers=head | scenarios.model_headers("m1"),
+                deployment.url("/chat/a"), headers=head
             ) as answer:
                 assert answer.status == 503
                 assert float(answer.headers["Retry-After"]) > 0
