Keep to the limits that targets state, over all instances

What callers' requests met: a target in need that took 1.5 requests a second got 16 in 4 s (14 allowed), since nothing read the limit in its answers.

Cause: the header was never decoded; each instance chose targets as before. Evidence: arrivals in the record don't change when the limit is stated, and one gateway alone exceeds it in the test.

Change: the limit is decoded in the adapter and told to all instances. One instance, found by rendezvous hashing, keeps a token bucket for the target and gives a permit for each request; without one the request goes to another target, or is refused as not run with the time of the next permit (ADR 14). This works for any number of instances, since only one counts: shares of so few requests can't be divided, and reports come too late.

Tests, failing before: 52 requests in 4 s at a limit of 0 (5 allowed), 54 at 1.5 (14).

--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -44,7 +44,8 @@
     ``charged_cost`` is in tokens or requests, as the team's rate;
     ``sent_attempts`` leaves out attempts that could not connect.
     ``part_digests`` are those of the parts of its prompt that other requests
-    may share; with ``is_trial`` it runs although one of them is refused.
+    may share; ``is_urgent`` is whether no route to the service has a higher
+    priority; with ``is_trial`` it runs although one of them is refused.
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
     were reached, and whose answer broke off.
@@ -62,6 +63,7 @@
     fingerprint: str
     part_digests: tuple[str, ...]
     event_buffer: streams.EventBuffer
+    is_urgent: bool = True
     stage: Stage = Stage.TARGET
     is_trial: bool = False
     is_charged: bool = False
@@ -157,6 +159,8 @@
             fingerprint=_fingerprint(path, head, body),
             part_digests=_part_digests(head),
             event_buffer=streams.EventBuffer(head.last_event),
+            is_urgent=route.priority
+            <= configuration.top_priority_by_service[service.id],
         )
         self._refuse_poison_request(call)
         self.refuse_crashing_part(call)
--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -88,11 +88,19 @@
 
     A request that may not run twice gets a new connection: a pooled one might
     be closed by the target at that moment, and it would then be unknown
-    whether the request ran.
+    whether the request ran.  ``on_answer`` is called with the head of each
+    answer, also of a rejection.
     """
 
-    def __init__(self, codec: interfaces.MessageCodec) -> None:
+    def __init__(
+        self,
+        codec: interfaces.MessageCodec,
+        on_answer: typing.Callable[
+            [target_registry.TargetRecord, model.AnswerHead], None
+        ],
+    ) -> None:
         self._codec = codec
+        self._on_answer = on_answer
         self._idle_ms = DEFAULT_IDLE_MS
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
@@ -128,6 +136,7 @@
         except TRANSFER_ERRORS as error:
             raise AttemptFailed(FailureKind.BROKEN, repr(error)) from error
         answer = self._codec.decode_answer(response.headers)
+        self._on_answer(record, answer)
         if answer.keep_alive_ms is not None:
             self._note_keep_alive(answer.keep_alive_ms)
         self._check_answer(response, answer, outgoing)
--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -16,6 +16,8 @@
 | ``s``, ``sc`` | requests suspected of crashing targets; those cleared |
 | ``b``, ``bc`` | the same for parts of prompts |
 | ``g`` | targets that are leaving or removed |
+| ``t`` | limits that targets have stated: start, rate, age |
+| ``st`` | whether the instance is stopping |
 | ``e`` | counts of rates by ended incarnation, for one that has just started |
 | ``v`` | streams by the service and software version that began them |
 | ``h`` | changes of what engines hold |
@@ -37,6 +39,7 @@
 from cardamom_gateway import state as state_module
 from cardamom_gateway import stream_origins
 from cardamom_gateway import suspect_reports
+from cardamom_gateway import target_limits
 from cardamom_gateway import target_registry
 
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
@@ -111,6 +114,14 @@
             is_store_reached,
         )
         state.targets.on_software = self.origins.report_all
+        self.limits = target_limits.TargetLimits(
+            state.settings.instance,
+            self._clock,
+            state.targets,
+            self.link,
+            self._base_update,
+            lambda: state.is_stopping,
+        )
 
     def gather_update(self, audience: peers.Audience) -> peers.StateUpdate:
         """Return the recent changes that a kind of peer needs."""
@@ -137,6 +148,9 @@
             for target_id, record in state.targets.by_id.items()
             if record.load.running
         }
+        limits = self.limits.export()
+        if limits:
+            update["t"] = limits
         if is_for_holder:
             update["m"] = {
                 name: report.export()
@@ -153,6 +167,8 @@
         update: peers.StateUpdate = dict(self.versions())
         update["up"] = self._up_ms()
         update["store"] = int(self._is_store_reached())
+        if self._state.is_stopping:
+            update["st"] = 1
         position = self.holdings.announced
         if position is not None:
             update["o"] = [position.term, position.number]
@@ -182,6 +198,7 @@
         state.rates.receive_ended(_decode_ended(update.get("e", {})), now_ms)
         self.leaving.receive(update)
         self.origins.receive(update)
+        self.limits.receive(update)
         if "l" in update:
             self._receive_load(incarnation, update["l"])
         if "m" in update:
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -45,6 +45,9 @@
 AdapterLoader = typing.Callable[
     [model.Target, str, str], typing.Awaitable[bool]
 ]
+PermitAcquirer = typing.Callable[
+    [target_registry.TargetRecord, bool], typing.Awaitable[bool]
+]
 
 
 class Forwarder:
@@ -64,6 +67,7 @@
         on_stream_begun: typing.Callable[
             [ids.AttemptId, stream_origins.Origin], None
         ],
+        acquire_permit: PermitAcquirer,
     ) -> None:
         self._state = state
         self._admission = admission.Admission(
@@ -77,6 +81,7 @@
         self._on_cleared = on_cleared
         self._find_origin = find_origin
         self._on_stream_begun = on_stream_begun
+        self._acquire_permit = acquire_permit
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -141,6 +146,11 @@
             await self._set_origin(call)
         while True:
             record, choice = await self._select_target(call)
+            if record.limit is not None and not (
+                await self._acquire_permit(record, call.is_urgent)
+                and self._state.targets.is_in_use(record)
+            ):
+                continue
             if not call.sent_attempts:
                 self._admission.refuse_crashing_part(call)
             part = self._admission.crashing_part(call)
@@ -441,7 +451,7 @@
     ) -> tuple[target_registry.TargetRecord, dispatching.Choice]:
         state = self._state
         candidates = state.targets.candidates(
-            records, call.head, call.tried_targets
+            records, call.head, call.tried_targets, call.is_urgent
         )
         choice = dispatching.choose(
             candidates, prompt_tokens, call.route.objective_ms
@@ -451,6 +461,7 @@
                 raise _target_failed(
                     call, call.last_failure, outcomes.Step.FIRST_BYTE
                 )
+            self._refuse_without_permit(call, records)
             raise admission.refused(
                 outcomes.Code.NO_TARGET,
                 f"{len(records)} targets, all of them tried",
@@ -468,6 +479,25 @@
             )
         return state.targets.by_id[choice.id], choice
 
+    def _refuse_without_permit(
+        self, call: admission.Call, records: list[target_registry.TargetRecord]
+    ) -> None:
+        """Raise RequestRefused if targets are left, but none has a permit."""
+        now_ms = self._state.clock.now_ms()
+        waits_ms = [
+            record.permit_wait_ms(call.is_urgent, now_ms)
+            for record in records
+            if record.target.id not in call.tried_targets
+        ]
+        if not waits_ms:
+            return
+        raise admission.refused(
+            outcomes.Code.OVERLOADED,
+            f"{len(waits_ms)} targets, each at the limit that it states",
+            outcomes.Step.QUEUE,
+            retry_after_ms=max(refusals.MIN_RETRY_AFTER_MS, min(waits_ms)),
+        )
+
     async def _wait_for_adapter(
         self, call: admission.Call, record: target_registry.TargetRecord
     ) -> None:
@@ -556,6 +586,7 @@
             resumes=head.resumed_attempt,
             target=record.target.id,
             software=record.target.software_version,
+            limit=record.limit.rate_per_s if record.limit else None,
             status=answer.status,
             framing=framing.value,
             incomplete_bytes=len(call.event_buffer.incomplete),
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -33,6 +33,7 @@
 from cardamom_gateway import store_watch
 from cardamom_gateway import stored_suspects
 from cardamom_gateway import stream_origins
+from cardamom_gateway import target_registry
 from cardamom_gateway import target_watch
 from cardamom_gateway import usage
 
@@ -132,6 +133,7 @@
             self._load_adapter_here,
             self.exchange.holdings.snapshot,
             self.exchange.origins,
+            self.exchange.limits,
         )
         self.lease = leases.Lease(
             relayed_tables.RelayedTable(
@@ -158,7 +160,9 @@
             self.placer,
             lambda: self.fleet.is_reached,
         )
-        self.target_client = attempts.TargetClient(state.codec)
+        self.target_client = attempts.TargetClient(
+            state.codec, self.exchange.limits.note_answer
+        )
         self.target_watch = target_watch.TargetWatch(
             state,
             self.target_client,
@@ -177,6 +181,7 @@
             self.exchange.suspect_parts,
             self._find_origin,
             self.exchange.origins.note_begun,
+            self._acquire_permit,
         )
         topics = interfaces.Topic
         self.configurations = self._follower(
@@ -600,6 +605,13 @@
             attempt, service, self.peer_calls.ask_origin
         )
 
+    async def _acquire_permit(
+        self, record: target_registry.TargetRecord, is_urgent: bool
+    ) -> bool:
+        return await self.exchange.limits.acquire(
+            record, is_urgent, self.peer_calls.ask_permit
+        )
+
     def _versions(self) -> dict[str, int]:
         configuration = self.state.configuration
         return {
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -146,6 +146,16 @@
             key: team for team in self.team_by_id.values() for key in team.keys
         }
 
+    @functools.cached_property
+    def top_priority_by_service(self) -> dict[ServiceId, int]:
+        """Return the most urgent priority of the routes to each service."""
+        top: dict[ServiceId, int] = {}
+        for route in self.routes:
+            for split in route.splits:
+                priority = top.get(split.service, route.priority)
+                top[split.service] = min(priority, route.priority)
+        return top
+
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
@@ -255,10 +265,14 @@
 
     ``is_signed`` is whether the answer carries the target's signature;
     ``has_not_run`` is whether the target states that it did not run the
-    request.
+    request.  ``rate_limit_per_s`` is how many requests a second it takes from
+    all instances together, None if it states no limit; ``malformed_limit`` is
+    the value of a limit that can't be used.
     """
 
     attempt: str
     is_signed: bool
     has_not_run: bool
     keep_alive_ms: int | None
+    rate_limit_per_s: float | None = None
+    malformed_limit: str | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
@@ -20,11 +20,13 @@
 from cardamom_gateway import sockets
 from cardamom_gateway import state as state_module
 from cardamom_gateway import stream_origins
+from cardamom_gateway import target_limits
 
 LOG = structlog.get_logger("cardamom.gateway.peer_calls")
 
 TIMEOUT_S = 1.0  # leaves time to resend an order to an engine
 ORIGIN_TIMEOUT_S = 0.3  # a caller waits for the rest of its stream
+PERMIT_TIMEOUT_S = 0.15  # another target may serve the caller
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 20.0
 CALL_ERRORS = (
@@ -63,6 +65,7 @@
         load_adapter: AdapterLoader,
         holdings_snapshot: typing.Callable[[], dict[str, typing.Any]],
         origins: stream_origins.StreamOrigins,
+        limits: target_limits.TargetLimits,
     ) -> None:
         self._state = state
         self._table = table
@@ -70,6 +73,7 @@
         self._load_adapter = load_adapter
         self._holdings_snapshot = holdings_snapshot
         self._origins = origins
+        self._limits = limits
         self._pool = pools.Pool(
             pools.PoolSettings(
                 idle_timeout_s=IDLE_TIMEOUT_S,
@@ -96,6 +100,8 @@
                 request.query.get("attempt", ""),
                 request.query.get("service", ""),
             )
+        if request.path == "/permit" and request.method == "POST":
+            return self._answer_permit(orjson.loads(await request.read()))
         if request.path == "/row" and request.method == "GET":
             return await self._answer_row(request.query.get("key", ""))
         if request.path == "/row" and request.method == "POST":
@@ -142,6 +148,33 @@
             bool(fields["is_complete"]),
         )
 
+    def _answer_permit(self, fields: dict[str, typing.Any]) -> web.Response:
+        wait_ms = self._limits.take(
+            target_limits.PermitRequest(
+                str(fields["incarnation"]),
+                float(fields["rate_per_s"]),
+                bool(fields["is_urgent"]),
+            )
+        )
+        return web.Response(body=orjson.dumps({"wait_ms": wait_ms}))
+
+    async def ask_permit(
+        self, owner: peers.Member, request: target_limits.PermitRequest
+    ) -> int | None:
+        """Ask the owner of a target's permits for one.
+
+        Returns 0 for a permit, the ms until there may be one, or None without
+        an answer.
+        """
+        fields = await self._call(
+            "POST",
+            owner,
+            "/permit",
+            dataclasses.asdict(request),
+            timeout_s=PERMIT_TIMEOUT_S,
+        )
+        return None if fields is None else int(fields["wait_ms"])
+
     async def _answer_row(self, key: str) -> web.Response:
         try:
             rows = await self._table.read_latest([key])
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_limits.py
@@ -0,0 +1,236 @@
+"""Limits that targets state on the requests of all instances together.
+
+A target in need states in its answers how many requests a second it takes.
+One instance, the owner, counts for the whole fleet; every instance finds it
+by rendezvous hashing and asks it for a permit before each request.  The cost
+of a request thus doesn't depend on the number of instances, and a limit below
+one request a second needs no division between them.
+
+Instances tell each other what targets have stated, so that those which have
+no answer of a target yet keep to its limit too.
+"""
+
+import dataclasses
+import math
+import typing
+
+import structlog
+
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import rendezvous
+from cardamom_policy import permits
+
+from cardamom_gateway import model
+from cardamom_gateway import peers
+from cardamom_gateway import target_registry
+
+LOG = structlog.get_logger("cardamom.gateway.limits")
+
+# Time without requests to a target after its owner gave no answer.
+NO_ANSWER_PAUSE_MS = 300
+# Peers are told for this long that a target states no limit any more.
+ENDED_RETENTION_MS = 5_000
+# Buckets of targets that state no limit any more are dropped after this.
+BUCKET_RETENTION_MS = 60_000
+
+
+@dataclasses.dataclass(frozen=True)
+class PermitRequest:
+    """A request for a permit; the rate is the limit as the sender knows it."""
+
+    incarnation: str
+    rate_per_s: float
+    is_urgent: bool
+
+
+PermitCall = typing.Callable[
+    [peers.Member, PermitRequest], typing.Awaitable[int | None]
+]
+
+
+@dataclasses.dataclass
+class _OwnedBucket:
+    bucket: permits.PermitBucket
+    used_ms: int
+
+
+class TargetLimits:
+    """The limits of all targets, and the permits of those owned here.
+
+    ``base_update`` returns the fields that every message carries.
+    """
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        clock: clocks.Clock,
+        targets: target_registry.TargetRegistry,
+        link: peers.PeerLink,
+        base_update: typing.Callable[[], peers.StateUpdate],
+        is_stopping: typing.Callable[[], bool],
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._targets = targets
+        self._link = link
+        self._base_update = base_update
+        self._is_stopping = is_stopping
+        self._owned_by_incarnation: dict[str, _OwnedBucket] = {}
+
+    # What targets state.
+
+    def note_answer(
+        self, record: target_registry.TargetRecord, answer: model.AnswerHead
+    ) -> None:
+        """Record what an answer of a target says of its limit."""
+        if answer.malformed_limit is not None:
+            self._report_malformed(record, answer.malformed_limit)
+            return
+        rate_per_s, previous = answer.rate_limit_per_s, record.limit
+        if rate_per_s is None and previous is None:
+            return
+        record.limit = target_registry.StatedLimit(
+            rate_per_s, self._clock.now_ms(), is_own=True
+        )
+        if previous is not None and previous.rate_per_s == rate_per_s:
+            return
+        self._log_change(record, self._instance)
+        self._link.broadcast(self._base_update() | {"t": self.export()})
+
+    def _report_malformed(
+        self, record: target_registry.TargetRecord, value: str
+    ) -> None:
+        if record.malformed_limit == value:
+            return
+        record.malformed_limit = value
+        LOG.warning(
+            "limits: not usable", target=record.target.id, value=value[:80]
+        )
+
+    def _log_change(
+        self, record: target_registry.TargetRecord, source: str
+    ) -> None:
+        assert record.limit is not None
+        LOG.info(
+            "limits: stated",
+            target=record.target.id,
+            rate_per_s=record.limit.rate_per_s,
+            source=source,
+        )
+
+    def export(self) -> dict[str, typing.Any]:
+        """Return what targets have stated to this instance, for peers."""
+        now_ms = self._clock.now_ms()
+        return {
+            target_id: [
+                record.target.started_ms,
+                record.limit.rate_per_s,
+                now_ms - record.limit.at_ms,
+            ]
+            for target_id, record in self._targets.by_id.items()
+            if record.limit is not None
+            and record.limit.is_own
+            and (
+                record.limit.rate_per_s is not None
+                or now_ms - record.limit.at_ms <= ENDED_RETENTION_MS
+            )
+        }
+
+    def receive(self, update: peers.StateUpdate) -> None:
+        """Apply what targets have stated to a peer.
+
+        Raises KeyError, IndexError, TypeError or ValueError if it is
+        malformed.
+        """
+        for target_id, fields in update.get("t", {}).items():
+            record = self._targets.by_id.get(ids.TargetId(target_id))
+            started_ms, stated, age_ms = fields
+            if record is None or record.target.started_ms != started_ms:
+                continue
+            rate_per_s = None if stated is None else float(stated)
+            if rate_per_s is not None and not _is_rate(rate_per_s):
+                raise ValueError(f"limit of {target_id}: {stated!r}")
+            at_ms = self._clock.now_ms() - int(age_ms)
+            previous = record.limit
+            if previous is not None and previous.at_ms >= at_ms:
+                continue
+            record.limit = target_registry.StatedLimit(
+                rate_per_s, at_ms, is_own=False
+            )
+            if previous is None or previous.rate_per_s != rate_per_s:
+                self._log_change(record, str(update["n"]))
+
+    # Permits.
+
+    async def acquire(
+        self,
+        record: target_registry.TargetRecord,
+        is_urgent: bool,
+        ask: PermitCall,
+    ) -> bool:
+        """Return whether a request may be sent to a target now."""
+        rate_per_s = record.limit.rate_per_s if record.limit else None
+        if rate_per_s is None:
+            return True
+        request = PermitRequest(
+            record.target.incarnation, rate_per_s, is_urgent
+        )
+        owner = self._owner(request.incarnation)
+        wait_ms = (
+            self.take(request) if owner is None else await ask(owner, request)
+        )
+        if wait_ms is None:
+            wait_ms = NO_ANSWER_PAUSE_MS
+        if wait_ms > 0:
+            record.pause_permits(self._clock.now_ms() + wait_ms, is_urgent)
+        return wait_ms == 0
+
+    def take(self, request: PermitRequest) -> int:
+        """Take a permit of a target; return 0, or the ms until there is one.
+
+        The caller takes this instance for the owner.
+        """
+        now_ms = self._clock.now_ms()
+        self._drop_unused(now_ms)
+        owned = self._owned_by_incarnation.setdefault(
+            request.incarnation,
+            _OwnedBucket(permits.PermitBucket(now_ms), now_ms),
+        )
+        owned.used_ms = now_ms
+        return owned.bucket.take(
+            request.rate_per_s * self._share(), request.is_urgent, now_ms
+        )
+
+    def _drop_unused(self, now_ms: int) -> None:
+        self._owned_by_incarnation = {
+            incarnation: owned
+            for incarnation, owned in self._owned_by_incarnation.items()
+            if now_ms - owned.used_ms <= BUCKET_RETENTION_MS
+        }
+
+    def _owner(self, incarnation: str) -> peers.Member | None:
+        """Return the owner of a target's permits, None for this instance."""
+        member_by_id = {
+            peer.member.id: peer.member
+            for peer in self._link.fresh_peers()
+            if not peer.update.get("st")
+        }
+        candidates = list(member_by_id)
+        if not self._is_stopping() or not candidates:
+            candidates.append(self._instance)
+        owner = rendezvous.owners(incarnation, candidates)[0]
+        return member_by_id.get(owner)
+
+    def _share(self) -> float:
+        """Return the part of a limit that this side of a partition may use.
+
+        Only one side can have more than half of all instances.
+        """
+        reached = len(self._link.fresh_peers()) + 1
+        known = len(self._link.member_by_id) + 1
+        return 1.0 if 2 * reached > known else reached / known
+
+
+def _is_rate(value: float) -> bool:
+    return math.isfinite(value) and value >= 0
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -55,13 +55,28 @@
     by_model_and_adapter: typing.Mapping[model.ModelAndAdapter, int]
 
 
+@dataclasses.dataclass(frozen=True)
+class StatedLimit:
+    """What a target stated of its limit on requests, at a time.
+
+    ``rate_per_s`` is the limit for all instances together, None if the target
+    states none any more.  ``is_own`` is whether an answer to this instance
+    said so, not a peer.
+    """
+
+    rate_per_s: float | None
+    at_ms: int
+    is_own: bool
+
+
 class TargetRecord:
     """One target with its load, its failures and its holdings.
 
     ``raw`` is the entry in the platform's form.  ``failure_ratio`` is a
     moving average from 0 to 1.  ``expired_ms`` is set while the entry is
     missing after an outage of the store, and ``leaving_at_write`` while a
-    peer has reported that the target is leaving.
+    peer has reported that the target is leaving.  ``limit`` is set once the
+    target has stated one.
     """
 
     def __init__(self, target: model.Target, cache_tokens: int) -> None:
@@ -80,6 +95,9 @@
         self.expired_ms: int | None = None
         self.leaving_at_write: int | None = None
         self.attempts: set[typing.Any] = set()
+        self.limit: StatedLimit | None = None
+        self.malformed_limit = ""
+        self._no_permit_until_ms: dict[bool, int] = {}
 
     @property
     def is_usable(self) -> bool:
@@ -89,6 +107,17 @@
             and self.leaving_at_write is None
         )
 
+    def pause_permits(self, until_ms: int, is_urgent: bool) -> None:
+        """Record that there is no permit for a kind of request before."""
+        self._no_permit_until_ms[is_urgent] = until_ms
+
+    def permit_wait_ms(self, is_urgent: bool, now_ms: int) -> int:
+        """Return the ms until there may be a permit for a request."""
+        if self.limit is None or self.limit.rate_per_s is None:
+            return 0
+        until_ms = self._no_permit_until_ms.get(is_urgent, now_ms)
+        return max(0, until_ms - now_ms)
+
     def residents(self, now_ms: int) -> frozenset[model.ModelAndAdapter]:
         """Return the resident models and adapters.
 
@@ -473,13 +502,20 @@
         records: typing.Iterable[TargetRecord],
         head: model.RequestHead,
         exclude: typing.Container[ids.TargetId],
+        is_urgent: bool,
     ) -> list[dispatching.Candidate]:
         """Return the candidates for a request.
 
-        Paused targets are returned only if there is no other.
+        Paused targets are returned only if there is no other, and targets
+        without a permit not at all.
         """
         now_ms = self._clock.now_ms()
-        usable = [r for r in records if r.target.id not in exclude]
+        usable = [
+            r
+            for r in records
+            if r.target.id not in exclude
+            and not r.permit_wait_ms(is_urgent, now_ms)
+        ]
         trusted = [r for r in usable if r.suspect_until_ms <= now_ms]
         return [
             dispatching.Candidate(
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -240,6 +240,28 @@
         )
         assert answer == model.AnswerHead("9c41", True, True, 4_000)
 
+    @pytest.mark.parametrize(
+        ("value", "limit", "malformed"),
+        [
+            (None, None, None),
+            ("1.5", 1.5, None),
+            ("0", 0.0, None),
+            ("-1", None, "-1"),
+            ("nan", None, "nan"),
+            ("inf", None, "inf"),
+            ("many", None, "many"),
+            ("", None, ""),
+        ],
+    )
+    def test_limit_of_an_answer_is_a_finite_number_from_0(
+        self, value: str | None, limit: float | None, malformed: str | None
+    ) -> None:
+        """Guards against a value that counts as a limit, but is none."""
+        fields = {} if value is None else {"Server-Limit": value}
+        answer = headers.decode_answer(fields)
+        assert answer.rate_limit_per_s == limit
+        assert answer.malformed_limit == malformed
+
     def test_refusal_has_retry_after_in_seconds(self) -> None:
         """Guards against milliseconds, or seconds rounded to integers."""
         assert headers.refusal_headers("a", 1_250) == [
--- a/tests/wire/test_target_limits.py
+++ b/tests/wire/test_target_limits.py
@@ -90,9 +90,13 @@
                 await asyncio.sleep(1 / REQUESTS_PER_S)
 
     async def _send(self, session: aiohttp.ClientSession, number: int) -> None:
-        gateways = self._deployment.gateways
+        ready = [
+            number
+            for number, gateway in enumerate(self._deployment.gateways)
+            if gateway.is_ready
+        ]
         async with session.get(
-            self._deployment.url(self._path, number % len(gateways)),
+            self._deployment.url(self._path, ready[number % len(ready)]),
             headers=scenarios.headers(f"a{number}"),
         ) as answer:
             await answer.read()
@@ -173,7 +177,7 @@
             started_s = asyncio.get_running_loop().time()
             load = asyncio.create_task(crowd.run(session))
             await asyncio.sleep(CONTACT_S)
-            leaving = deployment.gateways.pop()
+            leaving = deployment.gateways[-1]
             leaving.begin_stop()
             await asyncio.sleep(1.0)
             await deployment.start_gateway()
