Show what instances without links to targets do to their callers and others

After three resets of the links of one of three gateways, 0 of 12 sound streams with a shared part of the prompt are served anywhere, as that part is refused for ten minutes. While 1 or 3 of 4 gateways are cut off, none of their callers is served by resets or silence, and no call that may run once if only new connections are refused.

--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -526,6 +526,9 @@
     store: StoreStandIn
     replicas: list[ReplicaStandIn]
     gateways: list[gateway_module.Gateway]
+    open_platform: typing.Callable[[], plugin.ConsorcioPlatform] = (
+        plugin.ConsorcioPlatform
+    )
 
     def url(self, path: str, number: int = 0) -> str:
         """Return the URL of a path at a gateway."""
@@ -534,7 +537,7 @@
     async def start_gateway(self) -> gateway_module.Gateway:
         """Start one more gateway."""
         gateway = gateway_module.Gateway(
-            plugin.ConsorcioPlatform(),
+            self.open_platform(),
             make_settings(len(self.gateways), self.store),
         )
         # The start is moved back beyond the sliding windows, so that their
@@ -579,11 +582,17 @@
 
 @contextlib.asynccontextmanager
 async def running_deployment(
-    plain: int = 2, engines: int = 1, gateways: int = 1
+    plain: int = 2,
+    engines: int = 1,
+    gateways: int = 1,
+    open_platform: typing.Callable[
+        [], plugin.ConsorcioPlatform
+    ] = plugin.ConsorcioPlatform,
 ) -> typing.AsyncIterator[Deployment]:
     """Run gateways that are ready, with replicas and a store.
 
-    Afterwards no engine may have been ordered to load more models than fit.
+    ``open_platform`` is called for each gateway.  Afterwards no engine may
+    have been ordered to load more models than fit.
     """
     store = StoreStandIn()
     await store.start()
@@ -593,7 +602,7 @@
         replica.models = {"m1": [], "m2": []}
         replica.on_disk = ["m1", "m2", "m3"]
         replicas.append(replica)
-    deployment = Deployment(store, replicas, [])
+    deployment = Deployment(store, replicas, [], open_platform)
     store.put("op", "config", configuration())
     for replica in replicas:
         await replica.start()
--- a/tools/relay.py
+++ b/tools/relay.py
@@ -31,17 +31,28 @@
         self._silenced: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self.port = 0
         self.url = ""
 
     async def start(self) -> None:
-        """Start to listen and set ``url``."""
+        """Start to listen, on the same port as before, and set ``url``."""
         self._server = await asyncio.start_server(
             self._serve,
             "127.0.0.1",
-            0,
+            self.port,
         )
-        port = self._server.sockets[0].getsockname()[1]
-        self.url = f"http://127.0.0.1:{port}"
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.url = f"http://127.0.0.1:{self.port}"
+
+    async def stop_listening(self) -> None:
+        """Refuse new connections; open ones stay open."""
+        if self._server is not None:
+            self._server.close()
+
+    def abort_connections(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self._source_by_writer):
+            writer.transport.abort()
 
     async def stop(self) -> None:
         """Stop listening and close every connection."""
