Don't take a broken link of one instance for the crash of a target

Cause: an attempt that broke off, and a target that then can't be reached from here, counted as a crash of the target and as evidence against the request, for the whole fleet. Class: an instance takes its own link for a target's state.

Only one that doesn't reach it either confirms the crash; without an answer nothing is said of it. This works since a crashed target refuses everybody, and a broken link is that of one instance.

--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -27,6 +27,7 @@
 from cardamom_gateway import peer_calls
 from cardamom_gateway import peers
 from cardamom_gateway import placing
+from cardamom_gateway import reachability
 from cardamom_gateway import relayed_tables
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import state as state_module
@@ -134,6 +135,9 @@
             self.exchange.holdings.snapshot,
             self.exchange.origins,
             self.exchange.limits,
+            lambda target, started_ms: self.reachability.answer_peer(
+                target, started_ms
+            ),
         )
         self.lease = leases.Lease(
             relayed_tables.RelayedTable(
@@ -163,10 +167,18 @@
         self.target_client = attempts.TargetClient(
             state.codec, self.exchange.limits.note_answer
         )
+        self.reachability = reachability.Reachability(
+            state,
+            self.target_client,
+            self.link,
+            self._group,
+            self.peer_calls.ask_reach,
+        )
         self.target_watch = target_watch.TargetWatch(
             state,
             self.target_client,
             self._group,
+            self.reachability,
             self.exchange.suspects.note_crash,
             self.exchange.suspect_parts.note_crash,
         )
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
@@ -26,6 +26,7 @@
 
 TIMEOUT_S = 1.0  # leaves time to resend an order to an engine
 ORIGIN_TIMEOUT_S = 0.3  # a caller waits for the rest of its stream
+REACH_TIMEOUT_S = 0.3  # a sound target accepts a connection within a few ms
 PERMIT_TIMEOUT_S = 0.15  # another target may serve the caller
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 20.0
@@ -40,6 +41,7 @@
 AdapterLoader = typing.Callable[
     [ids.TargetId, str, str], typing.Awaitable[bool]
 ]
+ReachTest = typing.Callable[[ids.TargetId, int], typing.Awaitable[bool | None]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,7 @@
         holdings_snapshot: typing.Callable[[], dict[str, typing.Any]],
         origins: stream_origins.StreamOrigins,
         limits: target_limits.TargetLimits,
+        reaches_target: ReachTest,
     ) -> None:
         self._state = state
         self._table = table
@@ -74,6 +77,7 @@
         self._holdings_snapshot = holdings_snapshot
         self._origins = origins
         self._limits = limits
+        self._reaches_target = reaches_target
         self._pool = pools.Pool(
             pools.PoolSettings(
                 idle_timeout_s=IDLE_TIMEOUT_S,
@@ -100,6 +104,11 @@
                 request.query.get("attempt", ""),
                 request.query.get("service", ""),
             )
+        if request.path == "/reach":
+            return await self._answer_reach(
+                request.query.get("target", ""),
+                int(request.query.get("started_ms", "0")),
+            )
         if request.path == "/permit" and request.method == "POST":
             return self._answer_permit(orjson.loads(await request.read()))
         if request.path == "/row" and request.method == "GET":
@@ -148,6 +157,29 @@
             bool(fields["is_complete"]),
         )
 
+    async def _answer_reach(
+        self, target: str, started_ms: int
+    ) -> web.Response:
+        is_reached = await self._reaches_target(
+            ids.TargetId(target), started_ms
+        )
+        return web.Response(body=orjson.dumps({"reached": is_reached}))
+
+    async def ask_reach(
+        self, peer: peers.Member, target: ids.TargetId, started_ms: int
+    ) -> bool | None:
+        """Ask a peer whether it reaches a target.
+
+        Returns None without an answer, or if the peer can't tell.
+        """
+        query = urllib.parse.urlencode(
+            {"target": target, "started_ms": started_ms}
+        )
+        fields = await self._call(
+            "GET", peer, f"/reach?{query}", timeout_s=REACH_TIMEOUT_S
+        )
+        return None if fields is None else fields["reached"]
+
     def _answer_permit(self, fields: dict[str, typing.Any]) -> web.Response:
         wait_ms = self._limits.take(
             target_limits.PermitRequest(
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
@@ -7,6 +7,7 @@
 from cardamom_kernel import tasks
 
 from cardamom_gateway import attempts
+from cardamom_gateway import reachability
 from cardamom_gateway import state as state_module
 from cardamom_gateway import target_registry
 
@@ -29,6 +30,7 @@
         state: state_module.GatewayState,
         client: attempts.TargetClient,
         group: tasks.TaskGroup,
+        reachable: reachability.Reachability,
         on_crash: typing.Callable[[str], None],
         on_part_crash: typing.Callable[[str], None],
     ) -> None:
@@ -36,6 +38,7 @@
         self._clock = state.clock
         self._client = client
         self._group = group
+        self._reachability = reachable
         self._on_crash = on_crash
         self._on_part_crash = on_part_crash
 
@@ -76,7 +79,11 @@
         self._group.run_in_background(self._probe_broken(attempt))
 
     async def _probe_broken(self, attempt: attempts.Attempt) -> None:
-        """Record a loss for the request if its target has crashed."""
+        """Record a loss for the request if its target has crashed.
+
+        That takes a peer that doesn't reach it either: otherwise only the
+        link from here may be broken.
+        """
         accused = (
             attempt.part_digests if attempt.may_have_crashed_target else ()
         )
@@ -85,6 +92,8 @@
         if await self._client.probe(record):
             return
         record.record_connect_failure(self._clock.now_ms())
+        if await self._reachability.is_reached_by_peers(record) is not False:
+            return
         losses = self._state.suspicions.record_crash(
             attempt.fingerprint, record.target.incarnation
         )
