--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/admission.py
@@ -13,6 +13,7 @@
 from cardamom_policy import refusals
 
 from cardamom_gateway import model
+from cardamom_gateway import peers
 from cardamom_gateway import state as state_module
 from cardamom_gateway import streams
 from cardamom_gateway import suspect_reports
@@ -48,7 +49,9 @@
     priority; with ``is_trial`` it runs although one of them is refused.
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
-    were reached, and whose answer broke off.
+    were reached, and whose answer broke off.  ``relay`` is the peer through
+    which the latest attempt went, None if it went straight to the target;
+    ``tried_relays`` did not reach a target either.
     """
 
     request: web.BaseRequest
@@ -73,6 +76,8 @@
     failed_connections: int = 0
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    tried_relays: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    relay: peers.Member | None = None
     answer: web.StreamResponse | None = None
     first_byte_ms: int | None = None
     software_version: str | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -13,6 +13,7 @@
 
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
+from cardamom_gateway import peers
 from cardamom_gateway import sockets
 from cardamom_gateway import target_registry
 
@@ -44,6 +45,8 @@
     asyncio.IncompleteReadError,
 )
 STATUS_MISDIRECTED_REQUEST = 421
+# In the answer of a peer that could not send a request to the target.
+RELAY_NOT_CONNECTED = "Relay-Not-Connected"
 # From a stream's first event until a later crash can't come from its prompt.
 SOUND_AFTER_MS = 500
 
@@ -107,20 +110,43 @@
         self._retired_sessions: list[aiohttp.ClientSession] = []
 
     async def send(
-        self, record: target_registry.TargetRecord, outgoing: OutgoingRequest
+        self,
+        record: target_registry.TargetRecord,
+        outgoing: OutgoingRequest,
+        relay_address: str = "",
     ) -> aiohttp.ClientResponse:
         """Send a request and return the answer, whose body is unread.
 
-        Raises AttemptFailed without an answer, or if the answer does not
-        belong to the request or cannot be relayed.
+        With ``relay_address`` the request goes through a peer.  Raises
+        AttemptFailed without an answer, or if the answer does not belong to
+        the request or cannot be relayed.
         """
-        session = self._session(outgoing.needs_new_connection)
-        url = yarl.URL(
-            f"http://{record.target.address}{outgoing.raw_path}",
-            encoded=True,
+        response = await self.open(
+            relay_address or record.target.address, outgoing
         )
+        if RELAY_NOT_CONNECTED in response.headers and relay_address:
+            response.release()
+            raise AttemptFailed(
+                FailureKind.NOT_CONNECTED, f"not reached by {relay_address}"
+            )
+        answer = self._codec.decode_answer(response.headers)
+        self._on_answer(record, answer)
+        if answer.keep_alive_ms is not None:
+            self._note_keep_alive(answer.keep_alive_ms)
+        self._check_answer(response, answer, outgoing)
+        return response
+
+    async def open(
+        self, address: str, outgoing: OutgoingRequest
+    ) -> aiohttp.ClientResponse:
+        """Send a request to an address and return whatever is answered.
+
+        Raises AttemptFailed without an answer.
+        """
+        session = self._session(outgoing.needs_new_connection)
+        url = yarl.URL(f"http://{address}{outgoing.raw_path}", encoded=True)
         try:
-            response = await session.request(
+            return await session.request(
                 outgoing.method,
                 url,
                 headers=outgoing.headers,
@@ -135,12 +161,6 @@
             ) from error
         except TRANSFER_ERRORS as error:
             raise AttemptFailed(FailureKind.BROKEN, repr(error)) from error
-        answer = self._codec.decode_answer(response.headers)
-        self._on_answer(record, answer)
-        if answer.keep_alive_ms is not None:
-            self._note_keep_alive(answer.keep_alive_ms)
-        self._check_answer(response, answer, outgoing)
-        return response
 
     def _check_answer(
         self,
@@ -255,7 +275,7 @@
 
     ``last_read_ms`` is when bytes were last received from the target.
     ``part_digests`` are those of the parts of its prompt that other requests
-    may share.
+    may share; ``relay`` is the peer through which it goes, None for none.
     """
 
     def __init__(
@@ -266,8 +286,10 @@
         fingerprint: str,
         model_and_adapter: model.ModelAndAdapter,
         part_digests: tuple[str, ...] = (),
+        relay: peers.Member | None = None,
     ) -> None:
         self.part_digests = part_digests
+        self.relay = relay
         self.first_event_ms: int = clocks.FOREVER_MS
         self.record = record
         self.model_and_adapter = model_and_adapter
--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -18,6 +18,7 @@
 | ``g`` | targets that are leaving or removed |
 | ``t`` | limits that targets have stated: start, rate, age |
 | ``st`` | whether the instance is stopping |
+| ``ct`` | whether the instance is cut off from targets |
 | ``e`` | counts of rates by ended incarnation, for one that has just started |
 | ``v`` | streams by the service and software version that began them |
 | ``h`` | changes of what engines hold |
@@ -169,6 +170,8 @@
         update["store"] = int(self._is_store_reached())
         if self._state.is_stopping:
             update["st"] = 1
+        if self._state.targets.is_cut_off:
+            update["ct"] = 1
         position = self.holdings.announced
         if position is not None:
             update["o"] = [position.term, position.number]
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -19,6 +19,8 @@
 from cardamom_gateway import attempts
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
+from cardamom_gateway import reachability
+from cardamom_gateway import relaying
 from cardamom_gateway import state as state_module
 from cardamom_gateway import stream_origins
 from cardamom_gateway import suspect_reports
@@ -68,6 +70,7 @@
             [ids.AttemptId, stream_origins.Origin], None
         ],
         acquire_permit: PermitAcquirer,
+        reachable: reachability.Reachability,
     ) -> None:
         self._state = state
         self._admission = admission.Admission(
@@ -82,6 +85,7 @@
         self._find_origin = find_origin
         self._on_stream_begun = on_stream_begun
         self._acquire_permit = acquire_permit
+        self._reachability = reachable
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -168,7 +172,7 @@
             try:
                 return await self._attempt(call, record, choice)
             except attempts.AttemptFailed as failure:
-                self._note_failure(call, record, failure)
+                await self._note_failure(call, record, failure)
                 if not self._may_retry(call, failure):
                     return self._end_failed_call(call, failure.reason)
 
@@ -206,7 +210,7 @@
             return False
         return not call.may_have_run or call.route.is_retryable
 
-    def _note_failure(
+    async def _note_failure(
         self,
         call: admission.Call,
         record: target_registry.TargetRecord,
@@ -214,17 +218,21 @@
     ) -> None:
         state = self._state
         call.tried_targets.add(record.target.id)
+        relay = call.relay
         call.event_buffer.drop_incomplete()
         call.last_failure = str(failure)
         if failure.kind is attempts.FailureKind.NOT_CONNECTED:
             call.failed_connections += 1
             call.sent_attempts -= 1
             call.broken_targets.discard(record.target.id)
-            record.record_connect_failure(state.clock.now_ms())
+            await self._check_reach(call, record)
         if failure.kind is attempts.FailureKind.BROKEN:
             call.may_have_run = True
             call.broken_targets.add(record.target.id)
-        if failure.kind is not attempts.FailureKind.NOT_RUN:
+        if failure.kind is attempts.FailureKind.BROKEN or (
+            failure.kind is attempts.FailureKind.NOT_CONNECTED
+            and not record.is_relayed
+        ):
             record.note_outcome(has_failed=True)
         state.metrics.attempts.labels(
             call.service.id, failure.kind.value
@@ -235,12 +243,30 @@
             target=record.target.id,
             software=record.target.software_version,
             sent=call.sent_attempts,
+            relay=relay.id if relay else "",
             ending=failure.kind.value,
             reason=failure.reason,
             failures=round(record.failure_ratio, 2),
             **state.data_versions(),
         )
 
+    async def _check_reach(
+        self, call: admission.Call, record: target_registry.TargetRecord
+    ) -> None:
+        """Find out whether a target that wasn't connected is reached by peers.
+
+        If so, it may be tried once more, through another relay.
+        """
+        if call.relay is not None:
+            call.tried_relays.add(call.relay.id)
+            if call.failed_connections > 1:
+                self._reachability.on_relay_failed(record)
+                return
+        else:
+            record.record_connect_failure(self._state.clock.now_ms())
+        if await self._reachability.is_reached_soon(record):
+            call.tried_targets.discard(record.target.id)
+
     def _end_failed_call(
         self, call: admission.Call, reason: str
     ) -> web.StreamResponse:
@@ -538,7 +564,9 @@
             call.fingerprint,
             head.model_and_adapter,
             call.part_digests,
+            self._reachability.relay_for(record, call.tried_relays),
         )
+        call.relay = attempt.relay
         sent_ms = state.clock.now_ms()
         call.stage = admission.Stage.CONNECTION
         call.sent_attempts += 1
@@ -548,12 +576,11 @@
                 head.model_and_adapter, head.prompt_parts
             )
             try:
-                attempt.response = await self._client.send(
-                    record, self._outgoing_request(call, record)
-                )
+                attempt.response = await self._send(call, attempt)
                 call.stage = admission.Stage.BODY
                 attempt.note_received()
-                record.record_connect_success(state.clock.now_ms())
+                if attempt.relay is None:
+                    record.record_connect_success(state.clock.now_ms())
                 answer = await self._relay_answer(call, attempt)
             except asyncio.CancelledError:
                 if not attempt.absorb_cancel():
@@ -587,6 +614,7 @@
             target=record.target.id,
             software=record.target.software_version,
             limit=record.limit.rate_per_s if record.limit else None,
+            relay=call.relay.id if call.relay else "",
             status=answer.status,
             framing=framing.value,
             incomplete_bytes=len(call.event_buffer.incomplete),
@@ -598,6 +626,20 @@
         )
         return answer
 
+    async def _send(
+        self, call: admission.Call, attempt: attempts.Attempt
+    ) -> aiohttp.ClientResponse:
+        """Send an attempt's request to the target, or through its relay."""
+        record, relay = attempt.record, attempt.relay
+        outgoing = self._outgoing_request(call, record)
+        if relay is None:
+            return await self._client.send(record, outgoing)
+        return await self._client.send(
+            record,
+            relaying.outgoing_through_relay(outgoing, record),
+            f"{relay.host}:{relay.port}",
+        )
+
     def _outgoing_request(
         self, call: admission.Call, record: target_registry.TargetRecord
     ) -> attempts.OutgoingRequest:
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -29,6 +29,7 @@
 from cardamom_gateway import placing
 from cardamom_gateway import reachability
 from cardamom_gateway import relayed_tables
+from cardamom_gateway import relaying
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import state as state_module
 from cardamom_gateway import store_watch
@@ -174,6 +175,7 @@
             self._group,
             self.peer_calls.ask_reach,
         )
+        self.relay = relaying.Relay(state, self.target_client)
         self.target_watch = target_watch.TargetWatch(
             state,
             self.target_client,
@@ -194,6 +196,7 @@
             self._find_origin,
             self.exchange.origins.note_begun,
             self._acquire_permit,
+            self.reachability,
         )
         topics = interfaces.Topic
         self.configurations = self._follower(
@@ -243,7 +246,7 @@
         settings = self.settings
         await self.link.open()
         await self._listen(
-            self.peer_calls.handle,
+            self._handle_peer,
             self._peer_network_address(settings.peers_port),
         )
         await self._listen(
@@ -282,6 +285,9 @@
         start_periodic(
             "watch", WATCH_PERIOD_MS, self.target_watch.check_targets
         )
+        start_periodic(
+            "reachability", WATCH_PERIOD_MS, self.reachability.retry_targets
+        )
         start_periodic("catch-up", CATCH_UP_CHECK_PERIOD_MS, self._catch_up)
         start_periodic(
             "store watch", CATCH_UP_CHECK_PERIOD_MS, self.store_watch.check
@@ -321,6 +327,13 @@
         await site.start()
         self._runners.append(runner)
 
+    async def _handle_peer(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        if request.path.startswith(f"{relaying.PATH_PREFIX}/"):
+            return await self.relay.handle(request)
+        return await self.peer_calls.handle(request)
+
     async def _answer_readiness(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
@@ -767,7 +780,9 @@
 
     async def _wait_for_requests(self, end_ms: int) -> None:
         """Wait until no request is in flight, at most until ``end_ms``."""
-        while self.forwarder.in_flight and self.clock.now_ms() < end_ms:
+        while self.clock.now_ms() < end_ms and (
+            self.forwarder.in_flight or self.relay.in_flight
+        ):
             await self.clock.sleep_ms(50)
 
     async def _release_lease_and_row(self) -> None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
@@ -2,7 +2,8 @@
 
 A connection that fails shows nothing of a target's state: this instance's own
 link may be broken.  Peers in several data centres are therefore asked to
-connect to the target.
+connect to the target.  If one of them reaches it, requests go through peers
+(``relaying``) until a connection from here succeeds again.
 """
 
 import asyncio
@@ -28,6 +29,15 @@
 MAX_ASKED_PEERS = 5
 # A result is used again for this long.
 RESULT_RETENTION_MS = 300
+# A request waits no longer than this to hear that peers reach a target.
+MAX_REQUEST_WAIT_MS = 150
+MS_PER_S = 1000
+# Between connections from here to a target that only peers reach.
+RETRY_PERIOD_MS = 500
+# Number of such targets after which all others are tried.
+TARGETS_TO_TRY_ALL = 2
+# Relayed requests by which a near peer may be ahead of a remote one.
+LOCAL_PREFERENCE = 2
 
 ReachCall = typing.Callable[
     [peers.Member, ids.TargetId, int], typing.Awaitable[bool | None]
@@ -35,7 +45,7 @@
 
 
 class Reachability:
-    """Finds out which targets peers reach and this instance doesn't.
+    """Finds out which targets only peers reach, and through which to relay.
 
     ``ask`` has a peer connect to a target.
     """
@@ -99,11 +109,7 @@
             for answer in asyncio.as_completed(asked):
                 results.append(await answer)
                 if results[-1]:
-                    LOG.warning(
-                        "reachability: only peers reach a target",
-                        target=target.id,
-                        asked=len(members),
-                    )
+                    self._mark_relayed(record)
                     return True
         finally:
             for call in asked:
@@ -111,7 +117,7 @@
         return False if False in results else None
 
     def _members_to_ask(self) -> list[peers.Member]:
-        """Return peers of as many data centres as possible.
+        """Return peers that aren't cut off, of as many data centres as can be.
 
         A cut may concern a whole data centre.
         """
@@ -130,7 +136,7 @@
         return [
             peer
             for peer in self._link.fresh_peers()
-            if not peer.update.get("st")
+            if not peer.update.get("st") and not peer.update.get("ct")
         ]
 
     async def answer_peer(
@@ -138,9 +144,112 @@
     ) -> bool | None:
         """Return whether this instance reaches a target, for a peer.
 
-        Returns None if it doesn't know the target.
+        Returns None if it doesn't know the target, or is cut off itself.
         """
         record = self._state.targets.by_id.get(target_id)
         if record is None or record.target.started_ms != started_ms:
             return None
-        return await self._client.probe(record)
+        if await self._client.probe(record):
+            return True
+        return None if self._state.targets.is_cut_off else False
+
+    async def is_reached_soon(
+        self, record: target_registry.TargetRecord
+    ) -> bool:
+        """Return whether peers are known to reach a target, without delay."""
+        try:
+            async with asyncio.timeout(MAX_REQUEST_WAIT_MS / MS_PER_S):
+                return bool(await self.is_reached_by_peers(record))
+        except TimeoutError:
+            return False
+
+    # What this instance reaches itself.
+
+    def on_unreached(self, record: target_registry.TargetRecord) -> None:
+        """Ask peers for a target that this instance can't reach."""
+        self._group.run_in_background(self._run_check(record))
+
+    async def _run_check(self, record: target_registry.TargetRecord) -> None:
+        await self.is_reached_by_peers(record)
+
+    def _mark_relayed(self, record: target_registry.TargetRecord) -> None:
+        if record.is_relayed:
+            return
+        record.is_relayed = True
+        record.next_retry_ms = self._clock.now_ms() + RETRY_PERIOD_MS
+        LOG.warning(
+            "reachability: only through peers", target=record.target.id
+        )
+        self._state.targets.notify()
+        if len(self._state.targets.relayed()) >= TARGETS_TO_TRY_ALL:
+            for other in self._state.targets.by_id.values():
+                if not other.is_relayed:
+                    self._group.run_in_background(self._try(other))
+
+    async def retry_targets(self) -> None:
+        """Connect from here to targets that only peers reach, when due."""
+        now_ms = self._clock.now_ms()
+        for record in self._state.targets.relayed():
+            if now_ms >= record.next_retry_ms:
+                record.next_retry_ms = now_ms + RETRY_PERIOD_MS
+                self._group.run_in_background(self._try(record))
+
+    async def _try(self, record: target_registry.TargetRecord) -> None:
+        if not await self._client.probe(record):
+            if not record.is_relayed:
+                record.record_connect_failure(self._clock.now_ms())
+                await self.is_reached_by_peers(record)
+            return
+        if record.is_relayed:
+            LOG.info("reachability: from here again", target=record.target.id)
+            record.is_relayed = False
+            record.failure_ratio = 0.0  # of the link, not of the target
+            record.record_connect_success(self._clock.now_ms())
+            self._state.targets.notify()
+
+    # Relays.
+
+    def relay_for(
+        self,
+        record: target_registry.TargetRecord,
+        exclude: typing.Container[ids.InstanceId],
+    ) -> peers.Member | None:
+        """Return the peer to send a request through, None to send it directly.
+
+        The peer with the fewest requests of this instance is chosen, and a
+        near one if it has only a few more.
+        """
+        if not record.is_relayed:
+            return None
+        members = [
+            peer.member
+            for peer in self._usable_peers()
+            if peer.member.id not in exclude
+        ]
+        random.shuffle(members)
+        local = self._state.settings.data_centre
+        relayed_by_peer = collections.Counter(
+            attempt.relay.id
+            for other in self._state.targets.by_id.values()
+            for attempt in other.attempts
+            if attempt.relay is not None
+        )
+        return min(
+            members,
+            key=lambda member: (
+                relayed_by_peer[member.id]
+                + LOCAL_PREFERENCE * (member.data_centre != local)
+            ),
+            default=None,
+        )
+
+    def is_heard(self, member: peers.Member) -> bool:
+        """Return whether state updates of a peer are fresh."""
+        fresh = self._link.fresh_peers()
+        return any(peer.member.id == member.id for peer in fresh)
+
+    def on_relay_failed(self, record: target_registry.TargetRecord) -> None:
+        """Record that peers don't reach a target any more."""
+        record.is_relayed = False
+        record.record_connect_failure(self._clock.now_ms())
+        self.on_unreached(record)
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -76,7 +76,9 @@
     moving average from 0 to 1.  ``expired_ms`` is set while the entry is
     missing after an outage of the store, and ``leaving_at_write`` while a
     peer has reported that the target is leaving.  ``limit`` is set once the
-    target has stated one.
+    target has stated one.  ``is_relayed`` is whether only peers reach it, so
+    that requests go through them; ``next_retry_ms`` is then when to connect
+    from here again.
     """
 
     def __init__(self, target: model.Target, cache_tokens: int) -> None:
@@ -91,6 +93,8 @@
         self.failure_ratio = 0.0
         self.suspect_until_ms: int = clocks.NEVER_MS
         self.suspect_ms = FIRST_SUSPECT_MS
+        self.is_relayed = False
+        self.next_retry_ms: int = clocks.NEVER_MS
         self.last_answer_ms: int = clocks.NEVER_MS
         self.expired_ms: int | None = None
         self.leaving_at_write: int | None = None
@@ -516,7 +520,9 @@
             if r.target.id not in exclude
             and not r.permit_wait_ms(is_urgent, now_ms)
         ]
-        trusted = [r for r in usable if r.suspect_until_ms <= now_ms]
+        trusted = [
+            r for r in usable if r.is_relayed or r.suspect_until_ms <= now_ms
+        ]
         return [
             dispatching.Candidate(
                 id=record.target.id,
@@ -529,10 +535,21 @@
                 ),
                 adapter_ms=record.adapter_ms(head, now_ms),
                 failure_ratio=record.failure_ratio,
+                is_relayed=record.is_relayed,
             )
             for record in trusted or usable
         ]
 
+    def relayed(self) -> list[TargetRecord]:
+        """Return the targets that only peers reach."""
+        return [r for r in self.by_id.values() if r.is_relayed]
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether only peers reach at least half of all targets."""
+        relayed = len(self.relayed())
+        return relayed > 0 and 2 * relayed >= len(self.by_id)
+
     def notify(self) -> None:
         """Wake all callers of ``wait_for_change``."""
         self._changed.set()
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
@@ -62,8 +62,16 @@
     async def _probe_silent(
         self, record: target_registry.TargetRecord
     ) -> None:
-        """Give up a target's requests if it does not answer a probe."""
-        if await self._client.probe(record):
+        """Give up a target's requests if it does not answer a probe.
+
+        Those that go through peers are given up if no peer reaches it.
+        """
+        if record.is_relayed:
+            is_reached = await self._reachability.is_reached_by_peers(record)
+        else:
+            is_reached = await self._client.probe(record)
+        if is_reached:
+            self._give_up_silent_relays(record)
             return
         LOG.warning(
             "gateway: target silent",
@@ -71,9 +79,20 @@
             requests=len(record.attempts),
         )
         record.record_connect_failure(self._clock.now_ms())
+        self._reachability.on_unreached(record)
         for attempt in list(record.attempts):
             attempt.give_up()
 
+    def _give_up_silent_relays(
+        self, record: target_registry.TargetRecord
+    ) -> None:
+        """Give up requests whose relay is no longer heard of."""
+        for attempt in list(record.attempts):
+            if attempt.relay is not None and not (
+                self._reachability.is_heard(attempt.relay)
+            ):
+                attempt.give_up()
+
     def on_broken_attempt(self, attempt: attempts.Attempt) -> None:
         """Probe the target of an attempt that broke after it was sent."""
         self._group.run_in_background(self._probe_broken(attempt))
--- a/packages/cardamom-policy/src/cardamom_policy/dispatching.py
+++ b/packages/cardamom-policy/src/cardamom_policy/dispatching.py
@@ -16,6 +16,8 @@
 DELAY_MS_PER_RUNNING_REQUEST = 0.9  # delay of a first event by each request
 # Time that a replica in another data centre must save to be chosen.
 REMOTE_COST_MS = 80.0
+# Time that a replica must save to be chosen if requests go through a peer.
+RELAY_COST_MS = 20.0
 # Part of the objective within which a local replica goes before any other.
 LOCAL_OBJECTIVE_FRACTION = 0.4
 ADAPTER_LOAD_MS = 25.0  # time of an adapter's load, including its order
@@ -34,7 +36,7 @@
     instances, as far as reported; ``cached_tokens`` of this prompt are in the
     prefix cache; ``adapter_ms`` is the time until the adapter is loaded, 0 if
     it is; ``failure_ratio`` is the share of recent requests that failed, from
-    0 to 1.
+    0 to 1; ``is_relayed`` is whether requests reach it through a peer.
     """
 
     id: ids.TargetId
@@ -45,6 +47,7 @@
     cached_tokens: int = 0
     adapter_ms: float = 0.0
     failure_ratio: float = 0.0
+    is_relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,6 +125,8 @@
     cost += candidate.failure_ratio * FAILURE_COST_MS
     if not candidate.is_local:
         cost += REMOTE_COST_MS
+    if candidate.is_relayed:
+        cost += RELAY_COST_MS
     return cost
 
 
