Hand the lease for orders over while cut off from engines

What callers saw: while the instance that gives orders had lost its links to engines, no model or adapter was loaded anywhere until the cut ended.

Cause: the lease depends on the store only, which such an instance reaches. Same class: nothing asked whether its own links were broken.

Change: an instance that only peers' links help to at least half of all targets gives the lease back with the handover of a planned stop, and doesn't contend for it. Orders aren't relayed, since they would come from two machines.

Test, failing before (no orders within 5 s): another instance gives orders and both adapters that are asked for are served, in 5 s.

--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import structlog
+
 from cardamom_kernel import clocks
 from cardamom_kernel import leases
 
@@ -9,6 +11,8 @@
 from cardamom_gateway import placing
 from cardamom_gateway import state as state_module
 
+LOG = structlog.get_logger("cardamom.gateway.placing")
+
 LEASE_NAME = "orders"
 # Longer than the delay of a slow store.  A successor waits this long.
 LEASE_TTL_MS = 4_000
@@ -44,6 +48,9 @@
             await self._clock.sleep_ms(LEASE_RETRY_MS)
             if self._state.is_stopping and not self._lease.fence():
                 continue
+            if self._state.targets.is_cut_off:
+                await self._release_if_held()
+                continue
             if (
                 not self._is_store_reached()
                 and not self._exchange.store_peers()
@@ -59,6 +66,12 @@
                 )
                 await self._clock.sleep_ms(LEASE_RENEW_MS - LEASE_RETRY_MS)
 
+    async def _release_if_held(self) -> None:
+        """Release the lease, as engines can't be reached from here."""
+        if self._lease.fence():
+            LOG.warning("placing: gives the lease back while cut off")
+            await self._lease.release(self._placer.handover())
+
     def _should_contend(self) -> bool:
         """Return whether to read the lease's row, and take it if it is free.
 
--- a/tests/wire/test_cut_instances.py
+++ b/tests/wire/test_cut_instances.py
@@ -24,6 +24,7 @@
 PREFILL_S = 0.6
 RESET_S = 0.8
 RECOVERY_S = 1.5
+SUCCESSION_S = 5.0
 
 
 async def stream(
@@ -191,3 +192,47 @@
             assert statuses.count(200) == SOUND_STREAMS
 
         cuts.run_linked(scenario, plain=0, engines=8, gateways=3)
+
+
+class TestCutHolderOfOrders:
+    """The instance that gives orders to engines, without links to them."""
+
+    def test_another_instance_gives_orders_within_seconds(self) -> None:
+        """No model or adapter would be loaded anywhere until the cut ends."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            behave(linked.deployment)
+            gateways = linked.deployment.gateways
+            await standins.wait_until(
+                lambda: any(gateway.placer.may_order for gateway in gateways)
+            )
+            holder = next(
+                number
+                for number, gateway in enumerate(gateways)
+                if gateway.placer.may_order
+            )
+            await linked.cut({holder}, cuts.Cut.RESET)
+            load = asyncio.create_task(send_for(linked, CONTACT_S))
+            await standins.wait_until(
+                lambda: any(
+                    gateway.placer.may_order
+                    for number, gateway in enumerate(gateways)
+                    if number != holder
+                ),
+                timeout_s=SUCCESSION_S,
+            )
+            await load
+            statuses = [
+                await cuts.status_of(
+                    linked,
+                    number,
+                    "/chat/x",
+                    f"adapter-{number}",
+                    **scenarios.model_headers("m1", f"a{number}"),
+                )
+                for number in (0, 1)
+            ]
+            assert statuses == [200, 200]
+            await linked.restore({holder})
+
+        cuts.run_linked(scenario, plain=1, engines=2, gateways=3)
