Bound the requests in flight at targets that are brittle

What callers saw: targets that fail if they reject more than a few requests a second fell over again and again under load they could have served.

Cause: a rejection for want of room moved the request to the next target at once and taught nothing about the first; the room of a target may be less than the slots of its entry.

Change: the owner of a target's permits also counts the requests in flight of all instances (ADR 14). A request without room waits up to half of its route's objective, then it is refused as not run.

--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -45,6 +45,7 @@
     asyncio.IncompleteReadError,
 )
 STATUS_MISDIRECTED_REQUEST = 421
+STATUS_UNAVAILABLE = 503
 # In the answer of a peer that could not send a request to the target.
 RELAY_NOT_CONNECTED = "Relay-Not-Connected"
 # From a stream's first event until a later crash can't come from its prompt.
@@ -64,13 +65,16 @@
 
     With ``NOT_CONNECTED`` the target was not reached; with ``NOT_RUN`` it
     stated that it did not run the request; with ``BROKEN`` the request may
-    have run.
+    have run.  ``is_rejection`` is whether the target had no room for it.
     """
 
-    def __init__(self, kind: FailureKind, reason: str) -> None:
+    def __init__(
+        self, kind: FailureKind, reason: str, is_rejection: bool = False
+    ) -> None:
         super().__init__(f"{kind.value}: {reason}")
         self.kind = kind
         self.reason = reason
+        self.is_rejection = is_rejection
 
 
 @dataclasses.dataclass(frozen=True)
@@ -176,7 +180,11 @@
         if answer.has_not_run or response.status == STATUS_MISDIRECTED_REQUEST:
             status = response.status
             response.release()
-            raise AttemptFailed(FailureKind.NOT_RUN, f"status {status}")
+            raise AttemptFailed(
+                FailureKind.NOT_RUN,
+                f"status {status}",
+                is_rejection=status == STATUS_UNAVAILABLE,
+            )
         if response.ok and not (answer.is_signed and answer.attempt):
             response.close()
             raise AttemptFailed(
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -19,6 +19,7 @@
 from cardamom_gateway import attempts
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
+from cardamom_gateway import permit_client
 from cardamom_gateway import reachability
 from cardamom_gateway import relaying
 from cardamom_gateway import state as state_module
@@ -37,6 +38,10 @@
 MODEL_WAIT_FRACTION = 0.6
 # Time in which an adapter slot may become free.
 ADAPTER_RETRY_MS = 120
+# A longer wait for a permit is left to the caller.
+MAX_ROOM_WAIT_MS = 50
+# Longest time for such waits, as a fraction of the route's objective.
+ROOM_WAIT_FRACTION = 0.5
 MS_PER_S = 1000
 FIRST_ERROR_STATUS = 400
 
@@ -47,9 +52,25 @@
 AdapterLoader = typing.Callable[
     [model.Target, str, str], typing.Awaitable[bool]
 ]
-PermitAcquirer = typing.Callable[
-    [target_registry.TargetRecord, bool], typing.Awaitable[bool]
-]
+
+
+class NoPermit(outcomes.RequestRefused):
+    """Raised for a request whose targets are all at their limits.
+
+    There may be a permit after ``wait_ms``.
+    """
+
+    def __init__(self, targets: int, wait_ms: int) -> None:
+        super().__init__(
+            outcomes.Refusal(
+                outcomes.Code.OVERLOADED,
+                f"{targets} targets, each at the limit that it states",
+                outcomes.Step.QUEUE,
+                not_run=True,
+                retry_after_ms=max(refusals.MIN_RETRY_AFTER_MS, wait_ms),
+            )
+        )
+        self.wait_ms = wait_ms
 
 
 class Forwarder:
@@ -69,7 +90,7 @@
         on_stream_begun: typing.Callable[
             [ids.AttemptId, stream_origins.Origin], None
         ],
-        acquire_permit: PermitAcquirer,
+        permits: permit_client.PermitClient,
         reachable: reachability.Reachability,
     ) -> None:
         self._state = state
@@ -84,7 +105,7 @@
         self._on_cleared = on_cleared
         self._find_origin = find_origin
         self._on_stream_begun = on_stream_begun
-        self._acquire_permit = acquire_permit
+        self._permits = permits
         self._reachability = reachable
         self.in_flight = 0
 
@@ -149,32 +170,81 @@
         if call.route.is_resumable and call.head.last_event:
             await self._set_origin(call)
         while True:
-            record, choice = await self._select_target(call)
-            if record.limit is not None and not (
-                await self._acquire_permit(record, call.is_urgent)
-                and self._state.targets.is_in_use(record)
-            ):
+            try:
+                record, choice, permit = await self._select_with_permit(call)
+            except NoPermit as error:
+                if not self._may_wait(call, error.wait_ms):
+                    raise
+                await self._state.clock.sleep_ms(error.wait_ms)
                 continue
-            if not call.sent_attempts:
-                self._admission.refuse_crashing_part(call)
-            part = self._admission.crashing_part(call)
-            if part is not None:
-                return self._end_failed_call(
-                    call, admission.crashing_part_message(part)
-                )
-            if call.sent_attempts and not self._state.take_retry(
-                call.service.id
-            ):
-                return self._end_failed_call(
-                    call, "the retry budget is exhausted"
-                )
-            self._admission.charge(call, is_sent=True)
+            was_rejected = False
             try:
-                return await self._attempt(call, record, choice)
+                return await self._try_target(call, record, choice)
             except attempts.AttemptFailed as failure:
+                was_rejected = failure.is_rejection
                 await self._note_failure(call, record, failure)
                 if not self._may_retry(call, failure):
                     return self._end_failed_call(call, failure.reason)
+            finally:
+                if permit is not None:
+                    self._permits.finish(permit, was_rejected)
+
+    async def _select_with_permit(
+        self, call: admission.Call
+    ) -> tuple[
+        target_registry.TargetRecord,
+        dispatching.Choice,
+        permit_client.Permit | None,
+    ]:
+        """Return the target for the next attempt, with a permit if needed.
+
+        Raises RequestRefused as ``_select_target`` does, NoPermit if targets
+        are left, but none has a permit.
+        """
+        while True:
+            record, choice = await self._select_target(call)
+            if not record.is_limited:
+                return record, choice, None
+            permit = await self._permits.acquire(
+                record,
+                call.is_urgent,
+                call.deadline_ms - self._state.clock.now_ms(),
+            )
+            if permit is None:
+                continue
+            if self._state.targets.is_in_use(record):
+                return record, choice, permit
+            self._permits.finish(permit, was_rejected=False)
+
+    def _may_wait(self, call: admission.Call, wait_ms: int) -> bool:
+        """Return whether a request may wait for room at its targets."""
+        now_ms = self._state.clock.now_ms()
+        wait_end_ms = call.arrived_ms + ROOM_WAIT_FRACTION * min(
+            call.route.objective_ms, call.deadline_ms - call.arrived_ms
+        )
+        return wait_ms <= MAX_ROOM_WAIT_MS and now_ms + wait_ms < wait_end_ms
+
+    async def _try_target(
+        self,
+        call: admission.Call,
+        record: target_registry.TargetRecord,
+        choice: dispatching.Choice,
+    ) -> web.StreamResponse:
+        """Send a request to a target after the last checks.
+
+        Raises RequestRefused, or AttemptFailed if there may be another try.
+        """
+        if not call.sent_attempts:
+            self._admission.refuse_crashing_part(call)
+        part = self._admission.crashing_part(call)
+        if part is not None:
+            return self._end_failed_call(
+                call, admission.crashing_part_message(part)
+            )
+        if call.sent_attempts and not self._state.take_retry(call.service.id):
+            return self._end_failed_call(call, "the retry budget is exhausted")
+        self._admission.charge(call, is_sent=True)
+        return await self._attempt(call, record, choice)
 
     async def _set_origin(self, call: admission.Call) -> None:
         """Set service and software version of a stream that is resumed.
@@ -508,7 +578,7 @@
     def _refuse_without_permit(
         self, call: admission.Call, records: list[target_registry.TargetRecord]
     ) -> None:
-        """Raise RequestRefused if targets are left, but none has a permit."""
+        """Raise NoPermit if targets are left, but none has a permit."""
         now_ms = self._state.clock.now_ms()
         waits_ms = [
             record.permit_wait_ms(call.is_urgent, now_ms)
@@ -517,12 +587,7 @@
         ]
         if not waits_ms:
             return
-        raise admission.refused(
-            outcomes.Code.OVERLOADED,
-            f"{len(waits_ms)} targets, each at the limit that it states",
-            outcomes.Step.QUEUE,
-            retry_after_ms=max(refusals.MIN_RETRY_AFTER_MS, min(waits_ms)),
-        )
+        raise NoPermit(len(waits_ms), min(waits_ms))
 
     async def _wait_for_adapter(
         self, call: admission.Call, record: target_registry.TargetRecord
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -26,6 +26,7 @@
 from cardamom_gateway import order_lease
 from cardamom_gateway import peer_calls
 from cardamom_gateway import peers
+from cardamom_gateway import permit_client
 from cardamom_gateway import placing
 from cardamom_gateway import reachability
 from cardamom_gateway import relayed_tables
@@ -35,7 +36,6 @@
 from cardamom_gateway import store_watch
 from cardamom_gateway import stored_suspects
 from cardamom_gateway import stream_origins
-from cardamom_gateway import target_registry
 from cardamom_gateway import target_watch
 from cardamom_gateway import usage
 
@@ -184,6 +184,14 @@
             self.exchange.suspects.note_crash,
             self.exchange.suspect_parts.note_crash,
         )
+        self.permit_client = permit_client.PermitClient(
+            self.settings.instance,
+            self.clock,
+            self.exchange.limits,
+            self._group,
+            self.peer_calls.ask_permit,
+            self.peer_calls.report_permit_end,
+        )
         self.forwarder = forwarding.Forwarder(
             state,
             self.target_client,
@@ -195,7 +203,7 @@
             self.exchange.suspect_parts,
             self._find_origin,
             self.exchange.origins.note_begun,
-            self._acquire_permit,
+            self.permit_client,
             self.reachability,
         )
         topics = interfaces.Topic
@@ -630,13 +638,6 @@
             attempt, service, self.peer_calls.ask_origin
         )
 
-    async def _acquire_permit(
-        self, record: target_registry.TargetRecord, is_urgent: bool
-    ) -> bool:
-        return await self.exchange.limits.acquire(
-            record, is_urgent, self.peer_calls.ask_permit
-        )
-
     def _versions(self) -> dict[str, int]:
         configuration = self.state.configuration
         return {
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -266,8 +266,10 @@
     ``is_signed`` is whether the answer carries the target's signature;
     ``has_not_run`` is whether the target states that it did not run the
     request.  ``rate_limit_per_s`` is how many requests a second it takes from
-    all instances together, None if it states no limit; ``malformed_limit`` is
-    the value of a limit that can't be used.
+    all instances together, None if it states no limit.  A target that fails
+    if it rejects more requests a second than ``tolerated_rejections`` states
+    that number.  ``malformed_limit`` is the value of either that can't be
+    used.
     """
 
     attempt: str
@@ -275,4 +277,5 @@
     has_not_run: bool
     keep_alive_ms: int | None
     rate_limit_per_s: float | None = None
+    tolerated_rejections: int | None = None
     malformed_limit: str | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
@@ -111,6 +111,10 @@
             )
         if request.path == "/permit" and request.method == "POST":
             return self._answer_permit(orjson.loads(await request.read()))
+        if request.path == "/permit-end" and request.method == "POST":
+            fields = orjson.loads(await request.read())
+            self._limits.finish(target_limits.PermitEnd(**fields))
+            return web.Response(body=b"{}")
         if request.path == "/row" and request.method == "GET":
             return await self._answer_row(request.query.get("key", ""))
         if request.path == "/row" and request.method == "POST":
@@ -181,15 +185,15 @@
         return None if fields is None else fields["reached"]
 
     def _answer_permit(self, fields: dict[str, typing.Any]) -> web.Response:
-        wait_ms = self._limits.take(
-            target_limits.PermitRequest(
-                str(fields["incarnation"]),
-                float(fields["rate_per_s"]),
-                bool(fields["is_urgent"]),
-            )
-        )
+        wait_ms = self._limits.take(target_limits.PermitRequest(**fields))
         return web.Response(body=orjson.dumps({"wait_ms": wait_ms}))
 
+    async def report_permit_end(
+        self, owner: peers.Member, end: target_limits.PermitEnd
+    ) -> None:
+        """Tell the owner of a permit that its request has ended."""
+        await self._call("POST", owner, "/permit-end", dataclasses.asdict(end))
+
     async def ask_permit(
         self, owner: peers.Member, request: target_limits.PermitRequest
     ) -> int | None:
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/permit_client.py
@@ -0,0 +1,102 @@
+"""Gets permits for requests to targets that limit what they take."""
+
+import dataclasses
+import itertools
+import typing
+
+from cardamom_kernel import clocks
+from cardamom_kernel import ids
+from cardamom_kernel import tasks
+
+from cardamom_gateway import peers
+from cardamom_gateway import target_limits
+from cardamom_gateway import target_registry
+
+# Time without requests to a target after its owner gave no answer.
+NO_ANSWER_PAUSE_MS = 300
+# A permit expires this long after the deadline of its request.
+EXPIRY_MARGIN_MS = 1_000
+
+PermitCall = typing.Callable[
+    [peers.Member, target_limits.PermitRequest],
+    typing.Awaitable[int | None],
+]
+PermitEndCall = typing.Callable[
+    [peers.Member, target_limits.PermitEnd],
+    typing.Coroutine[typing.Any, typing.Any, None],
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class Permit:
+    """A permit for one attempt, and its owner, None for this instance."""
+
+    request: target_limits.PermitRequest
+    owner: peers.Member | None
+
+
+class PermitClient:
+    """Asks the owners of targets for permits, and reports their ends."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        clock: clocks.Clock,
+        limits: target_limits.TargetLimits,
+        group: tasks.TaskGroup,
+        ask: PermitCall,
+        report_end: PermitEndCall,
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._limits = limits
+        self._group = group
+        self._ask = ask
+        self._report_end = report_end
+        self._numbers = itertools.count()
+
+    async def acquire(
+        self,
+        record: target_registry.TargetRecord,
+        is_urgent: bool,
+        remaining_ms: float,
+    ) -> Permit | None:
+        """Return a permit for a request to a target that states a limit.
+
+        ``remaining_ms`` is the time to the request's deadline.  Without a
+        permit the target is paused, and None is returned.
+        """
+        limit = record.limit
+        assert limit is not None
+        request = target_limits.PermitRequest(
+            incarnation=record.target.incarnation,
+            permit=f"{self._instance}-{next(self._numbers)}",
+            rate_per_s=limit.rate_per_s,
+            is_brittle=limit.tolerated_rejections is not None,
+            slots=record.target.slots,
+            is_urgent=is_urgent,
+            expires_in_ms=int(remaining_ms) + EXPIRY_MARGIN_MS,
+        )
+        owner = self._limits.owner(request.incarnation)
+        wait_ms = (
+            self._limits.take(request)
+            if owner is None
+            else await self._ask(owner, request)
+        )
+        if wait_ms == 0:
+            return Permit(request, owner)
+        pause_ms = NO_ANSWER_PAUSE_MS if wait_ms is None else wait_ms
+        record.pause_permits(self._clock.now_ms() + pause_ms, is_urgent)
+        return None
+
+    def finish(self, permit: Permit, was_rejected: bool) -> None:
+        """Report the end of a request, if its owner counts those in flight."""
+        if not permit.request.is_brittle:
+            return
+        end = target_limits.PermitEnd(
+            permit.request.incarnation, permit.request.permit, was_rejected
+        )
+        if permit.owner is None:
+            self._limits.finish(end)
+            return
+        self._group.run_in_background(self._report_end(permit.owner, end))
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_limits.py
@@ -1,6 +1,7 @@
 """Limits that targets state on the requests of all instances together.
 
-A target in need states in its answers how many requests a second it takes.
+A target in need states in its answers how many requests a second it takes, or
+that it is brittle: that it fails if it has to reject many for want of room.
 One instance, the owner, counts for the whole fleet; every instance finds it
 by rendezvous hashing and asks it for a permit before each request.  The cost
 of a request thus doesn't depend on the number of instances, and a limit below
@@ -20,6 +21,7 @@
 from cardamom_kernel import ids
 from cardamom_kernel import rendezvous
 from cardamom_policy import permits
+from cardamom_policy import room as room_module
 
 from cardamom_gateway import model
 from cardamom_gateway import peers
@@ -27,31 +29,48 @@
 
 LOG = structlog.get_logger("cardamom.gateway.limits")
 
-# Time without requests to a target after its owner gave no answer.
-NO_ANSWER_PAUSE_MS = 300
 # Peers are told for this long that a target states no limit any more.
 ENDED_RETENTION_MS = 5_000
 # Buckets of targets that state no limit any more are dropped after this.
 BUCKET_RETENTION_MS = 60_000
+# Time after which there may be room again at a target.
+ROOM_WAIT_MS = 30
+NOTHING: target_registry.LimitValues = (None, None)
 
 
 @dataclasses.dataclass(frozen=True)
 class PermitRequest:
-    """A request for a permit; the rate is the limit as the sender knows it."""
+    """A request for a permit, with the limit as the sender knows it.
+
+    ``permit`` is unique over all instances.  ``rate_per_s`` is None for a
+    target without a limited rate; requests in flight are counted for one that
+    ``is_brittle``.  The permit then expires after ``expires_in_ms``.
+    """
 
     incarnation: str
-    rate_per_s: float
+    permit: str
+    rate_per_s: float | None
+    is_brittle: bool
+    slots: int
     is_urgent: bool
+    expires_in_ms: int
 
 
-PermitCall = typing.Callable[
-    [peers.Member, PermitRequest], typing.Awaitable[int | None]
-]
+@dataclasses.dataclass(frozen=True)
+class PermitEnd:
+    """The end of a request with a permit, which the target may reject."""
+
+    incarnation: str
+    permit: str
+    was_rejected: bool
 
 
 @dataclasses.dataclass
-class _OwnedBucket:
+class _Owned:
+    """What the owner of a target counts."""
+
     bucket: permits.PermitBucket
+    room: room_module.Room
     used_ms: int
 
 
@@ -76,7 +95,7 @@
         self._link = link
         self._base_update = base_update
         self._is_stopping = is_stopping
-        self._owned_by_incarnation: dict[str, _OwnedBucket] = {}
+        self._owned_by_incarnation: dict[str, _Owned] = {}
 
     # What targets state.
 
@@ -87,13 +106,13 @@
         if answer.malformed_limit is not None:
             self._report_malformed(record, answer.malformed_limit)
             return
-        rate_per_s, previous = answer.rate_limit_per_s, record.limit
-        if rate_per_s is None and previous is None:
+        stated, previous = _stated(answer), record.limit
+        if previous is None and stated == NOTHING:
             return
         record.limit = target_registry.StatedLimit(
-            rate_per_s, self._clock.now_ms(), is_own=True
+            *stated, self._clock.now_ms(), is_own=True
         )
-        if previous is not None and previous.rate_per_s == rate_per_s:
+        if previous is not None and previous.values == stated:
             return
         self._log_change(record, self._instance)
         self._link.broadcast(self._base_update() | {"t": self.export()})
@@ -116,6 +135,7 @@
             "limits: stated",
             target=record.target.id,
             rate_per_s=record.limit.rate_per_s,
+            tolerated_rejections=record.limit.tolerated_rejections,
             source=source,
         )
 
@@ -125,14 +145,14 @@
         return {
             target_id: [
                 record.target.started_ms,
-                record.limit.rate_per_s,
+                *record.limit.values,
                 now_ms - record.limit.at_ms,
             ]
             for target_id, record in self._targets.by_id.items()
             if record.limit is not None
             and record.limit.is_own
             and (
-                record.limit.rate_per_s is not None
+                record.limit.is_stated
                 or now_ms - record.limit.at_ms <= ENDED_RETENTION_MS
             )
         }
@@ -145,47 +165,27 @@
         """
         for target_id, fields in update.get("t", {}).items():
             record = self._targets.by_id.get(ids.TargetId(target_id))
-            started_ms, stated, age_ms = fields
+            started_ms, rate_per_s, tolerated, age_ms = fields
             if record is None or record.target.started_ms != started_ms:
                 continue
-            rate_per_s = None if stated is None else float(stated)
-            if rate_per_s is not None and not _is_rate(rate_per_s):
-                raise ValueError(f"limit of {target_id}: {stated!r}")
+            stated = (
+                None if rate_per_s is None else float(rate_per_s),
+                None if tolerated is None else int(tolerated),
+            )
+            if not all(n is None or _is_amount(n) for n in stated):
+                raise ValueError(f"limit of {target_id}: {fields!r}")
             at_ms = self._clock.now_ms() - int(age_ms)
             previous = record.limit
             if previous is not None and previous.at_ms >= at_ms:
                 continue
             record.limit = target_registry.StatedLimit(
-                rate_per_s, at_ms, is_own=False
+                *stated, at_ms, is_own=False
             )
-            if previous is None or previous.rate_per_s != rate_per_s:
+            if previous is None or previous.values != stated:
                 self._log_change(record, str(update["n"]))
 
     # Permits.
 
-    async def acquire(
-        self,
-        record: target_registry.TargetRecord,
-        is_urgent: bool,
-        ask: PermitCall,
-    ) -> bool:
-        """Return whether a request may be sent to a target now."""
-        rate_per_s = record.limit.rate_per_s if record.limit else None
-        if rate_per_s is None:
-            return True
-        request = PermitRequest(
-            record.target.incarnation, rate_per_s, is_urgent
-        )
-        owner = self._owner(request.incarnation)
-        wait_ms = (
-            self.take(request) if owner is None else await ask(owner, request)
-        )
-        if wait_ms is None:
-            wait_ms = NO_ANSWER_PAUSE_MS
-        if wait_ms > 0:
-            record.pause_permits(self._clock.now_ms() + wait_ms, is_urgent)
-        return wait_ms == 0
-
     def take(self, request: PermitRequest) -> int:
         """Take a permit of a target; return 0, or the ms until there is one.
 
@@ -195,12 +195,41 @@
         self._drop_unused(now_ms)
         owned = self._owned_by_incarnation.setdefault(
             request.incarnation,
-            _OwnedBucket(permits.PermitBucket(now_ms), now_ms),
+            _Owned(
+                permits.PermitBucket(now_ms),
+                room_module.Room(request.slots, now_ms),
+                now_ms,
+            ),
         )
         owned.used_ms = now_ms
-        return owned.bucket.take(
+        if request.is_brittle and not owned.room.take(
+            request.permit,
+            request.is_urgent,
+            now_ms + request.expires_in_ms,
+            now_ms,
+        ):
+            return ROOM_WAIT_MS
+        if request.rate_per_s is None:
+            return 0
+        wait_ms = owned.bucket.take(
             request.rate_per_s * self._share(), request.is_urgent, now_ms
         )
+        if wait_ms > 0:
+            owned.room.finish(request.permit, False, now_ms)
+        return wait_ms
+
+    def finish(self, end: PermitEnd) -> None:
+        """Record the end of a request at a target that is brittle."""
+        owned = self._owned_by_incarnation.get(end.incarnation)
+        if owned is None:
+            return
+        owned.room.finish(end.permit, end.was_rejected, self._clock.now_ms())
+        if end.was_rejected:
+            LOG.info(
+                "limits: rejected",
+                target=end.incarnation,
+                bound=owned.room.bound,
+            )
 
     def _drop_unused(self, now_ms: int) -> None:
         self._owned_by_incarnation = {
@@ -209,7 +238,7 @@
             if now_ms - owned.used_ms <= BUCKET_RETENTION_MS
         }
 
-    def _owner(self, incarnation: str) -> peers.Member | None:
+    def owner(self, incarnation: str) -> peers.Member | None:
         """Return the owner of a target's permits, None for this instance."""
         member_by_id = {
             peer.member.id: peer.member
@@ -232,5 +261,9 @@
         return 1.0 if 2 * reached > known else reached / known
 
 
-def _is_rate(value: float) -> bool:
+def _stated(answer: model.AnswerHead) -> target_registry.LimitValues:
+    return answer.rate_limit_per_s, answer.tolerated_rejections
+
+
+def _is_amount(value: float) -> bool:
     return math.isfinite(value) and value >= 0
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -55,19 +55,34 @@
     by_model_and_adapter: typing.Mapping[model.ModelAndAdapter, int]
 
 
+LimitValues = tuple[float | None, int | None]
+
+
 @dataclasses.dataclass(frozen=True)
 class StatedLimit:
-    """What a target stated of its limit on requests, at a time.
+    """What a target stated of its limits on requests, at a time.
 
-    ``rate_per_s`` is the limit for all instances together, None if the target
-    states none any more.  ``is_own`` is whether an answer to this instance
-    said so, not a peer.
+    ``rate_per_s`` is the limit for all instances together, and
+    ``tolerated_rejections`` how many requests a second it may reject for want
+    of room without failing; None stands for no limit.  ``is_own`` is whether
+    an answer to this instance said so, not a peer.
     """
 
     rate_per_s: float | None
+    tolerated_rejections: int | None
     at_ms: int
     is_own: bool
 
+    @property
+    def values(self) -> LimitValues:
+        """Return the limits, without their source."""
+        return self.rate_per_s, self.tolerated_rejections
+
+    @property
+    def is_stated(self) -> bool:
+        """Return whether there is any limit."""
+        return self.values != (None, None)
+
 
 class TargetRecord:
     """One target with its load, its failures and its holdings.
@@ -111,13 +126,18 @@
             and self.leaving_at_write is None
         )
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether requests to the target need a permit."""
+        return self.limit is not None and self.limit.is_stated
+
     def pause_permits(self, until_ms: int, is_urgent: bool) -> None:
         """Record that there is no permit for a kind of request before."""
         self._no_permit_until_ms[is_urgent] = until_ms
 
     def permit_wait_ms(self, is_urgent: bool, now_ms: int) -> int:
         """Return the ms until there may be a permit for a request."""
-        if self.limit is None or self.limit.rate_per_s is None:
+        if not self.is_limited:
             return 0
         until_ms = self._no_permit_until_ms.get(is_urgent, now_ms)
         return max(0, until_ms - now_ms)
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -8,9 +8,11 @@
 
 from cardamom_gateway import model
 from cardamom_gateway import peers
+from cardamom_gateway import permit_client
 from cardamom_gateway import target_limits
 from cardamom_gateway import target_registry
 from cardamom_kernel import ids
+from cardamom_kernel import tasks
 from tests.gateway import links
 
 STEP_MS = 20
@@ -54,6 +56,7 @@
             ids.InstanceId, target_limits.TargetLimits
         ] = {}
         self.records: list[target_registry.TargetRecord] = []
+        self.clients: list[permit_client.PermitClient] = []
         self.all_limits: list[target_limits.TargetLimits] = []
         self.ids: list[ids.InstanceId] = []
         for link in self.network.links:
@@ -76,6 +79,16 @@
         )
         self.limits_by_id[instance] = limits
         self.all_limits.append(limits)
+        self.clients.append(
+            permit_client.PermitClient(
+                instance,
+                self.clock,
+                limits,
+                tasks.TaskGroup(self.clock),
+                self.ask_from(instance),
+                self._report_end,
+            )
+        )
         self.records.append(registry.by_id[TARGET.id])
         self.ids.append(instance)
 
@@ -96,7 +109,12 @@
                 ):
                     peer.received_ms = now_ms
 
-    def ask_from(self, asker: ids.InstanceId) -> target_limits.PermitCall:
+    async def _report_end(
+        self, owner: peers.Member, end: target_limits.PermitEnd
+    ) -> None:
+        self.limits_by_id[owner.id].finish(end)
+
+    def ask_from(self, asker: ids.InstanceId) -> permit_client.PermitCall:
         """Return the call of one instance to an owner."""
 
         async def ask(
@@ -128,11 +146,11 @@
         random.shuffle(numbers)
         for number in numbers:
             record, instance = self.records[number], self.ids[number]
+            client = self.clients[number]
             now_ms = self.clock.now_ms()
             if instance in self.silent or record.permit_wait_ms(True, now_ms):
                 continue
-            ask = self.ask_from(instance)
-            if await self.all_limits[number].acquire(record, True, ask):
+            if await client.acquire(record, True, 1_000.0):
                 self.sent_ms.append(now_ms - start_ms)
 
     def most_in_span(self) -> int:
@@ -171,7 +189,7 @@
     ) -> None:
         """Another instance takes over, and is used from then on."""
         fleet = Fleet(9)
-        owner = fleet.all_limits[0]._owner(TARGET.incarnation)
+        owner = fleet.all_limits[0].owner(TARGET.incarnation)
         first = owner.id if owner else fleet.ids[0]
 
         def disturb(elapsed_ms: int) -> None:
@@ -212,7 +230,7 @@
         fleet.clock.step(500)
         fleet.all_limits[1].note_answer(fleet.records[1], answer_head(None))
         fleet.network.deliver()
-        late["t"][TARGET.id][2] += 500
+        late["t"][TARGET.id][3] += 500
         fleet.all_limits[2].receive(late)
         assert not any(
             r.limit.rate_per_s is not None for r in fleet.records if r.limit
@@ -221,7 +239,7 @@
     def test_limit_of_an_earlier_incarnation_is_ignored(self) -> None:
         """A target that has started again states its limit itself."""
         fleet = Fleet(2)
-        entry = [TARGET.started_ms - 1, 1.5, 0]
+        entry = [TARGET.started_ms - 1, 1.5, None, 0]
         fleet.all_limits[0].receive({"n": "x", "t": {TARGET.id: entry}})
         assert fleet.records[0].limit is None
 
@@ -229,7 +247,7 @@
     def test_malformed_report_is_an_error(self, value: object) -> None:
         """It is logged and dropped with its message."""
         fleet = Fleet(2)
-        entry = [TARGET.started_ms, value, 0]
+        entry = [TARGET.started_ms, value, None, 0]
         update = {"n": "x", "t": {TARGET.id: entry}}
         with pytest.raises((ValueError, TypeError)):
             fleet.all_limits[0].receive(update)
--- /dev/null
+++ b/tests/wire/test_brittle_targets.py
@@ -0,0 +1,119 @@
+"""Tests of targets that fall over when they reject many requests."""
+
+import asyncio
+import collections
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from tests.wire import scenarios
+from tests.wire import standins
+from tests.wire import test_target_limits as limits
+
+CONTACT_S = 3.0
+DURATION_S = 10.0
+RUN_S = 0.1
+# The entry names more slots than the target has room for.
+ROOM = 2
+TOLERATED_REJECTIONS = 3
+DOWN_S = 2.0
+# Falls that the operators allow: 2, and a tenth of the targets.
+MAX_FALLS = 2
+OFFERED_PER_S = 4 * ROOM / RUN_S
+
+
+class Brittle:
+    """Targets that fall over after some rejections within a second."""
+
+    def __init__(self, deployment: standins.Deployment) -> None:
+        self._deployment = deployment
+        self._running: collections.Counter[str] = collections.Counter()
+        self._rejected_s: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._started_s = asyncio.get_running_loop().time()
+        self.falls = 0
+
+    async def answer(
+        self, replica: standins.ReplicaStandIn, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer after a while, or reject for want of room."""
+        headers = standins.signed(request)
+        headers["Server-Brittle"] = str(TOLERATED_REJECTIONS)
+        if self._running[replica.name] >= ROOM:
+            self._note_rejection(replica)
+            return web.Response(
+                status=503, headers=headers | {"Not-Executed": "1"}
+            )
+        self._running[replica.name] += 1
+        try:
+            await asyncio.sleep(RUN_S)
+        finally:
+            self._running[replica.name] -= 1
+        return web.Response(text=replica.name, headers=headers)
+
+    def _note_rejection(self, replica: standins.ReplicaStandIn) -> None:
+        now_s = asyncio.get_running_loop().time()
+        recent = [
+            at_s
+            for at_s in self._rejected_s[replica.name]
+            if now_s - at_s < 1.0
+        ]
+        self._rejected_s[replica.name] = [*recent, now_s]
+        if now_s - self._started_s < CONTACT_S:
+            return
+        if len(recent) + 1 > TOLERATED_REJECTIONS:
+            self._rejected_s[replica.name].clear()
+            self.falls += 1
+            task = asyncio.create_task(self._fall(replica))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _fall(self, replica: standins.ReplicaStandIn) -> None:
+        await replica.crash(DOWN_S)
+        self._running[replica.name] = 0
+        self._deployment.register(replica)
+
+    async def finish(self) -> None:
+        """Wait until all targets are back."""
+        await standins.wait_until(lambda: not self._tasks)
+
+
+class TestBrittleTargets:
+    """Requests beyond the room of targets that say that they are brittle."""
+
+    @pytest.mark.parametrize("requests_per_s", [60, 120])
+    def test_rejections_do_not_bring_brittle_targets_down(
+        self, requests_per_s: int
+    ) -> None:
+        """Each rejection went to the next target, and taught nothing."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await limits.remove_rate(deployment)
+            brittle = Brittle(deployment)
+            for replica in deployment.replicas:
+                replica.behaviour = brittle.answer
+            statuses: list[int] = []
+
+            async def send(number: int) -> None:
+                async with session.get(
+                    deployment.url("/read/x", number % 3),
+                    headers=scenarios.headers(f"a{number}"),
+                ) as answer:
+                    await answer.read()
+                    statuses.append(answer.status)
+
+            async with asyncio.TaskGroup() as group:
+                for number in range(round(DURATION_S * requests_per_s)):
+                    group.create_task(send(number))
+                    await asyncio.sleep(1 / requests_per_s)
+            await brittle.finish()
+            assert brittle.falls <= MAX_FALLS
+            served_per_s = statuses.count(200) / DURATION_S
+            assert served_per_s >= 0.75 * min(requests_per_s, OFFERED_PER_S)
+
+        scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -262,6 +262,16 @@
         assert answer.rate_limit_per_s == limit
         assert answer.malformed_limit == malformed
 
+    def test_tolerated_rejections_of_a_brittle_target_are_decoded(
+        self,
+    ) -> None:
+        """Guards against a brittle target that is taken for any other."""
+        answer = headers.decode_answer({"Server-Brittle": "3"})
+        assert answer.tolerated_rejections == 3
+        malformed = headers.decode_answer({"Server-Brittle": "few"})
+        assert malformed.tolerated_rejections is None
+        assert malformed.malformed_limit == "few"
+
     def test_refusal_has_retry_after_in_seconds(self) -> None:
         """Guards against milliseconds, or seconds rounded to integers."""
         assert headers.refusal_headers("a", 1_250) == [
