Let requests outlast the silence of a target that goes on

What callers saw: streams were broken off, or run again elsewhere, when a sound target was silent for a second or so.

Cause: requests were given up by one failed probe after 0.9 s without bytes (a request that waits in a queue has none anyway), and a TCP_USER_TIMEOUT of 0.9 s closed connections; with it, the second keepalive timer ends them, whatever the number of probes.

Change: streams and calls that may run once are given up after 1.5 s of failed probes; calls that may simply be repeated at once, as before, and all of them if peers reach the target, since then the link is broken. The timeout of connections to targets is longer than two probe intervals. Peers get the time that their own connection to a target may take.

--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -246,7 +246,7 @@
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
-                socket_factory=sockets.open_keepalive_socket,
+                socket_factory=sockets.open_target_socket,
                 **connector_options,
             ),
             timeout=aiohttp.ClientTimeout(
@@ -284,6 +284,8 @@
     ``last_read_ms`` is when bytes were last received from the target.
     ``part_digests`` are those of the parts of its prompt that other requests
     may share; ``relay`` is the peer through which it goes, None for none.
+    ``outlasts_silence`` is whether it waits for a target that is silent for a
+    moment; a call that may simply be repeated does not.
     """
 
     def __init__(
@@ -295,8 +297,10 @@
         model_and_adapter: model.ModelAndAdapter,
         part_digests: tuple[str, ...] = (),
         relay: peers.Member | None = None,
+        outlasts_silence: bool = True,
     ) -> None:
         self.part_digests = part_digests
+        self.outlasts_silence = outlasts_silence
         self.relay = relay
         self.first_event_ms: int = clocks.FOREVER_MS
         self.record = record
@@ -345,6 +349,7 @@
         """Record that bytes were received from the target."""
         self.last_read_ms = self._clock.now_ms()
         self.record.last_answer_ms = self.last_read_ms
+        self.record.unreached_since_ms = clocks.FOREVER_MS
 
     def give_up(self) -> None:
         """End the attempt because its target is silent."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -630,6 +630,7 @@
             head.model_and_adapter,
             call.part_digests,
             self._reachability.relay_for(record, call.tried_relays),
+            outlasts_silence=call.route.kind is not model.CallKind.IDEMPOTENT,
         )
         call.relay = attempt.relay
         sent_ms = state.clock.now_ms()
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
@@ -26,7 +26,7 @@
 
 TIMEOUT_S = 1.0  # leaves time to resend an order to an engine
 ORIGIN_TIMEOUT_S = 0.3  # a caller waits for the rest of its stream
-REACH_TIMEOUT_S = 0.3  # a sound target accepts a connection within a few ms
+REACH_TIMEOUT_S = 0.6  # a peer tries for 0.4 s to connect
 PERMIT_TIMEOUT_S = 0.15  # another target may serve the caller
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 20.0
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -93,7 +93,8 @@
     peer has reported that the target is leaving.  ``limit`` is set once the
     target has stated one.  ``is_relayed`` is whether only peers reach it, so
     that requests go through them; ``next_retry_ms`` is then when to connect
-    from here again.
+    from here again.  ``unreached_since_ms`` is when the first of the latest
+    probes began, all of which failed.
     """
 
     def __init__(self, target: model.Target, cache_tokens: int) -> None:
@@ -111,6 +112,7 @@
         self.is_relayed = False
         self.next_retry_ms: int = clocks.NEVER_MS
         self.last_answer_ms: int = clocks.NEVER_MS
+        self.unreached_since_ms: int = clocks.FOREVER_MS
         self.expired_ms: int | None = None
         self.leaving_at_write: int | None = None
         self.attempts: set[typing.Any] = set()
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from cardamom_kernel import clocks
 from cardamom_kernel import tasks
 
 from cardamom_gateway import attempts
@@ -14,6 +15,8 @@
 LOG = structlog.get_logger("cardamom.gateway")
 
 SILENT_MS = 900  # silence of a target with running requests, before a probe
+# A sound target may be silent for so long and go on.
+MAX_SILENCE_MS = 1_500
 BROKEN_PROBE_DELAY_MS = 150  # a crashed target refuses connections by then
 
 
@@ -62,25 +65,41 @@
     async def _probe_silent(
         self, record: target_registry.TargetRecord
     ) -> None:
-        """Give up a target's requests if it does not answer a probe.
+        """Give up a target's requests if it does not answer probes.
 
-        Those that go through peers are given up if no peer reaches it.
+        A target that peers reach is not silent: the link from here is broken,
+        and its requests are given up at once.  So are calls that may simply
+        be repeated; others outlast a silence of MAX_SILENCE_MS.
         """
-        if record.is_relayed:
-            is_reached = await self._reachability.is_reached_by_peers(record)
-        else:
-            is_reached = await self._client.probe(record)
-        if is_reached:
+        started_ms = self._clock.now_ms()
+        if not record.is_relayed and await self._client.probe(record):
+            record.unreached_since_ms = clocks.FOREVER_MS
+            return
+        record.unreached_since_ms = min(record.unreached_since_ms, started_ms)
+        was_relayed = record.is_relayed
+        is_reached = await self._reachability.is_reached_by_peers(record)
+        if is_reached and was_relayed:
             self._give_up_silent_relays(record)
             return
+        if is_reached and await self._client.probe(record):
+            return  # the silence has just ended
+        now_ms = self._clock.now_ms()
+        record.record_connect_failure(now_ms)
+        is_over = (
+            is_reached or now_ms - record.unreached_since_ms >= MAX_SILENCE_MS
+        )
+        given_up = [
+            attempt
+            for attempt in record.attempts
+            if is_over or not attempt.outlasts_silence
+        ]
         LOG.warning(
             "gateway: target silent",
             target=record.target.id,
             requests=len(record.attempts),
+            given_up=len(given_up),
         )
-        record.record_connect_failure(self._clock.now_ms())
-        self._reachability.on_unreached(record)
-        for attempt in list(record.attempts):
+        for attempt in given_up:
             attempt.give_up()
 
     def _give_up_silent_relays(
