Soak limits, brittle replicas and cuts of instances from all replicas

Each instance now sees the store through a view of its own, in which links stand for the replicas, so that some instances, or a zone, can be cut off by resets, silence, or for new connections only. Replicas state limits and that they are brittle; the ledger counts what they get, their falls, and how first tries fare at instances without links, with the operators' bounds.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from tests.soak import ledger as ledgers
+from tests.soak import needs as needs_module
 from tests.soak import processes
 from tests.wire import standins
 
@@ -43,10 +44,24 @@
     def __init__(self, ledger: ledgers.Ledger, rnd: random.Random) -> None:
         self._ledger = ledger
         self._random = rnd
+        self.needs = needs_module.Needs(ledger, rnd)
         self.crash: typing.Callable[[standins.ReplicaStandIn], None]
 
     async def answer(
         self, replica: standins.ReplicaStandIn, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answer, or reject a request for want of room."""
+        rejection = self.needs.rejection(replica, request)
+        if rejection is not None:
+            return rejection
+        self.needs.begin(replica)
+        try:
+            return await self._answer(replica, request)
+        finally:
+            self.needs.end(replica)
+
+    async def _answer(
+        self, replica: standins.ReplicaStandIn, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Answer by the request's path; crash under the bad part."""
         attempt = request.headers["Attempt-Id"]
@@ -72,15 +87,30 @@
                 for r in reversed(replica.requests)
                 if r[1]["Attempt-Id"] == attempt
             )
+            self._note_told(replica, attempt)
             return web.Response(
-                text=digest(attempt, body), headers=standins.signed(request)
+                text=digest(attempt, body),
+                headers=standins.signed(request) | self.needs.headers(replica),
             )
-        return await self._stream(attempt, request)
+        return await self._stream(replica, attempt, request)
+
+    def _note_told(
+        self, replica: standins.ReplicaStandIn, attempt: str
+    ) -> None:
+        if "Server-Limit" in self.needs.headers(replica):
+            now_s = asyncio.get_running_loop().time()
+            self._ledger.note_told(replica.name, attempt, now_s)
 
     async def _stream(
-        self, attempt: str, request: web.BaseRequest
+        self,
+        replica: standins.ReplicaStandIn,
+        attempt: str,
+        request: web.BaseRequest,
     ) -> web.StreamResponse:
-        answer = await standins.begin_stream(request)
+        self._note_told(replica, attempt)
+        answer = await standins.begin_stream(
+            request, self.needs.headers(replica)
+        )
         first = int(request.headers.get("Last-Event-Id") or -1) + 1
         for number in range(first, EVENTS):
             await answer.write(piece(attempt, number))
@@ -176,6 +206,7 @@
         self, attempt: str, kind: str, body: bytes, status: int, data: bytes
     ) -> None:
         self._ledger.outcomes[f"{kind} {status}"] += 1
+        self._ledger.status_by_attempt[attempt] = status
         if status in NOT_RUN_STATUSES:
             self._ledger.not_run.add(attempt)
         if status in OWN_REFUSALS:
@@ -197,6 +228,7 @@
     ) -> None:
         """Check a connection that ended without a whole answer."""
         self._ledger.outcomes[f"cut {type(error).__name__}"] += 1
+        self._ledger.status_by_attempt[attempt] = 0
         now_s = asyncio.get_running_loop().time()
         has_arrived = any(
             a.attempt == attempt for a in self._ledger.arrivals[-2_000:]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,9 @@
 import typing
 
 from tests.soak import ledger as ledgers
+from tests.soak import needs as needs_module
 from tests.soak import processes
+from tests.wire import cuts
 from tests.wire import standins
 from tools import relay as relays
 
@@ -18,6 +20,8 @@
 STORM_S = 6.0
 CALM_S = 10.0
 DOWN_S = 1.0
+MAX_CUT_S = 9.0
+ZONE_FRACTION = 0.3
 
 
 class Faults:
@@ -38,6 +42,8 @@
         self._ledger = ledger
         self._random = rnd
         self._busy: set[str] = set()
+        self._are_links_cut = False
+        self.needs: needs_module.Needs
         self.count_by_kind: collections.Counter[str] = collections.Counter()
         self._kinds: dict[str, typing.Callable[[], typing.Any]] = {
             "kill": lambda: self._series(self._kill),
@@ -53,6 +59,9 @@
             "store from a copy": self._store_from_copy,
             "store history": self._store_history,
             "replica crash": self._crash_replica,
+            "links cut": self._cut_links,
+            "limit": self._limit,
+            "brittle": self._be_brittle,
         }
         for kind in left_out:
             del self._kinds[kind]
@@ -141,6 +150,44 @@
         instance.relay.set_mode(standins.HOST, relays.Mode.PASS)
         instance.disturbance.end(self._now_s())
 
+    async def _cut_links(self) -> None:
+        """Cut some instances, or all of a zone, from all replicas."""
+        if self._are_links_cut:
+            return
+        self._are_links_cut = True
+        count = self._random.randint(1, len(self._instances) - 1)
+        chosen = self._random.sample(self._instances, count)
+        if self._random.random() < ZONE_FRACTION:
+            zone = chosen[0].zone
+            chosen = [i for i in self._instances if i.zone == zone]
+        how = self._random.choice(list(cuts.Cut))
+        cut = ledgers.LinkCut(
+            frozenset(instance.name for instance in chosen), self._now_s()
+        )
+        self._ledger.cuts.append(cut)
+        self._ledger.targets.begin()
+        for instance in chosen:
+            await instance.view.cut(how)
+        await asyncio.sleep(self._random.uniform(0.5, MAX_CUT_S))
+        cut.end_s = self._now_s()
+        for instance in chosen:
+            await instance.view.restore()
+        self._ledger.targets.end(self._now_s())
+        self._are_links_cut = False
+
+    async def _limit(self) -> None:
+        ready = [r for r in self._replicas if r.state == "ready"]
+        await self.needs.limit(
+            self._random.choice(ready), self._random.uniform(1.0, MAX_CUT_S)
+        )
+
+    async def _be_brittle(self) -> None:
+        service = self._random.choice(["plain", "engines"])
+        await self.needs.be_brittle(
+            [r for r in self._replicas if r.service == service],
+            self._random.uniform(1.0, MAX_CUT_S),
+        )
+
     async def _silence(self) -> None:
         """Let all open connections to the store go silent for good."""
         for instance in self._instances:
@@ -195,7 +242,12 @@
             return
         self._busy.add(replica.name)
         self._ledger.targets.begin()
+        address = replica.address
+        for instance in self._instances:
+            await instance.view.set_down(address)
         await replica.crash(DOWN_S)
+        for instance in self._instances:
+            await instance.view.set_up(address)
         if replica.state == "ready":
             self._store.put("servers", replica.name, replica.entry())
         self._ledger.targets.end(self._now_s())
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -13,6 +13,10 @@
 KEY_S = 5.0
 RATE_WINDOW_S = 8.0
 RATE_OVERAGE = 1.1
+LIMIT_SPAN_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5
 COUNTED_CRASHES = 5
 MAX_LATE_BAD = 3
 
@@ -38,6 +42,36 @@
     tokens: int
 
 
+@dataclasses.dataclass
+class StatedLimit:
+    """A limit that a replica stated, in requests a second."""
+
+    replica: str
+    born_ms: int
+    rate_per_s: float
+    begun_s: float
+    end_s: float = math.inf
+    told_s: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class BrittleTime:
+    """A time in which replicas are brittle, and their falls in it."""
+
+    replicas: int
+    begun_s: float
+    falls: int = 0
+
+
+@dataclasses.dataclass
+class LinkCut:
+    """A time in which some instances have no links to replicas."""
+
+    instances: frozenset[str]
+    begun_s: float
+    end_s: float = math.inf
+
+
 class Disturbance:
     """Something that is disturbed now, or was until a moment."""
 
@@ -71,6 +105,10 @@
         self.leaving_s: dict[str, float] = {}
         self.store = Disturbance()
         self.targets = Disturbance()
+        self.limits: list[StatedLimit] = []
+        self.brittle_times: list[BrittleTime] = []
+        self.cuts: list[LinkCut] = []
+        self.status_by_attempt: dict[str, int] = {}
         self.violations: list[str] = []
         self.outcomes: collections.Counter[str] = collections.Counter()
 
@@ -137,3 +175,84 @@
                 f"the bad part reached engines {len(late)} times after the "
                 "fifth crash"
             )
+
+    def note_told(self, replica: str, attempt: str, now_s: float) -> None:
+        """Record that an instance passed on an answer with a limit."""
+        sent = self.sent.get(attempt)
+        for limit in self.limits:
+            if sent and limit.replica == replica and now_s < limit.end_s:
+                limit.told_s.setdefault(sent.instance, now_s)
+
+    def check_limits(self) -> None:
+        """Check what replicas got beyond the limits that they stated."""
+        for limit in self.limits:
+            counted = [
+                a.at_s
+                for a in self.arrivals
+                if a.replica == limit.replica
+                and limit.begun_s + CONTACT_S <= a.at_s < limit.end_s
+                and self._is_told(a, limit)
+            ]
+            most = max(
+                (
+                    sum(first <= t < first + LIMIT_SPAN_S for t in counted)
+                    for first in counted
+                ),
+                default=0,
+            )
+            allowed = (
+                limit.rate_per_s * LIMIT_SPAN_S * LIMIT_OVERAGE + LIMIT_SLACK
+            )
+            if most > allowed:
+                self.violate(
+                    f"{limit.replica}: {most} requests in 4 s at a limit of "
+                    f"{limit.rate_per_s}, {allowed} allowed"
+                )
+
+    def _is_told(self, arrival: Arrival, limit: StatedLimit) -> bool:
+        sent = self.sent[arrival.attempt]
+        told_s = limit.told_s.get(sent.instance, math.inf)
+        return sent.is_in_touch and arrival.at_s - told_s >= TOLD_S
+
+    def check_falls(self) -> None:
+        """Check how often brittle replicas fell."""
+        for time in self.brittle_times:
+            if time.falls > 2 + time.replicas / 10:
+                self.violate(
+                    f"{time.falls} falls of {time.replicas} brittle replicas"
+                )
+
+    def check_cuts(self) -> None:
+        """Check how instances without links to replicas served."""
+        for cut in self.cuts:
+            counted = {
+                attempt: sent
+                for attempt, sent in self.sent.items()
+                if cut.begun_s + CONTACT_S <= sent.at_s < cut.end_s - 1
+                and sent.is_in_touch
+                and attempt in self.status_by_attempt
+            }
+            served: dict[bool, list[bool]] = {True: [], False: []}
+            for attempt, sent in counted.items():
+                served[sent.instance in cut.instances].append(
+                    self.status_by_attempt[attempt] == 200
+                )
+            failed = served[True].count(False)
+            if (
+                served[True]
+                and served[False]
+                and _ratio(served[True]) < _ratio(served[False]) * 2 / 3
+                and failed > 10 + len(counted) / 50
+            ):
+                self.violate(
+                    f"without links: {_counts(served[True])} served, "
+                    f"at the others: {_counts(served[False])}"
+                )
+
+
+def _ratio(served: list[bool]) -> float:
+    return served.count(True) / len(served)
+
+
+def _counts(served: list[bool]) -> str:
+    return f"{served.count(True)} of {len(served)}"
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -11,6 +11,7 @@
 import yaml
 
 from tests.soak import ledger as ledgers
+from tests.soak import links
 from tests.wire import standins
 from tools import relay as relays
 
@@ -35,7 +36,7 @@
 
 
 class Instance:
-    """One gateway process behind a relay to the store.
+    """One gateway process behind a relay to the store, and links to replicas.
 
     ``disturbance`` covers all but planned stops.
     """
@@ -51,7 +52,7 @@
         self.name = f"frontend-{number}"
         self.zone = f"bog-{'abc'[number % 3]}"
         self.folder = folder
-        self.relay = relays.Relay(standins.HOST, store.port)
+        self.view = links.StoreView(store)
         self.process: asyncio.subprocess.Process | None = None
         self.incarnation = 0
         self.is_stopping = False
@@ -70,7 +71,9 @@
         return self.folder / f"{self.name}.log"
 
     async def prepare(self) -> None:
-        """Start its relay and write its settings."""
+        """Start its view of the store, a relay to it, write its settings."""
+        await self.view.start()
+        self.relay = relays.Relay(standins.HOST, self.view.port)
         await self.relay.start()
         self.write_settings()
 
@@ -100,6 +103,11 @@
     def _settings_path(self) -> pathlib.Path:
         return self.folder / f"{self.name}.yaml"
 
+    async def stop_links(self) -> None:
+        """Close its relay and its links."""
+        await self.relay.stop()
+        await self.view.stop()
+
     async def start(self) -> None:
         """Start a new process of the instance."""
         self.incarnation += 1
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -58,7 +58,7 @@
         finally:
             for instance in self._instances:
                 await instance.kill()
-                await instance.relay.stop()
+                await instance.stop_links()
             for replica in self._all_replicas:
                 await replica.stop()
             await self._store.stop()
@@ -76,6 +76,8 @@
             *arguments, self.ledger, self._random
         )
         self._replies.crash = self._crash
+        self._replies.needs.crash = self._crash
+        self._faults.needs = self._replies.needs
         for number in range(8):
             service = "plain" if number < 4 else "engines"
             await self._start_replica(f"i{number}", service)
@@ -84,6 +86,8 @@
             instance = processes.Instance(number, self._folder, self._store)
             self._instances.append(instance)
             await instance.prepare()
+            for replica in self._all_replicas:
+                await instance.view.add(replica)
             instance.disturbance.begin()
             await instance.start()
             instance.disturbance.end(asyncio.get_running_loop().time())
@@ -98,6 +102,8 @@
             replica.models = {"m1": [], "m2": []}
             replica.on_disk = ["m1", "m2", "m3"]
         await replica.start()
+        for instance in self._instances:
+            await instance.view.add(replica)
         self._store.put("servers", name, replica.entry())
         self._replicas.append(replica)
         self._all_replicas.append(replica)
@@ -168,6 +174,9 @@
     def _check_at_end(self) -> None:
         self.ledger.check_runs()
         self.ledger.check_bad_part()
+        self.ledger.check_limits()
+        self.ledger.check_falls()
+        self.ledger.check_cuts()
         limit = (
             operators.FLOOD_RATE * ledgers.RATE_WINDOW_S
             + operators.FLOOD_BURST
--- a/tests/wire/cuts.py
+++ b/tests/wire/cuts.py
@@ -67,6 +67,7 @@
             blocking.close()
         self._blocking.clear()
         self.set_mode(standins.HOST, relays.Mode.PASS)
+        await self.stop_listening()
         await self.start()
 
 
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -421,9 +421,11 @@
     request.transport.abort()
 
 
-async def begin_stream(request: web.BaseRequest) -> web.StreamResponse:
+async def begin_stream(
+    request: web.BaseRequest, headers: typing.Mapping[str, str] = {}
+) -> web.StreamResponse:
     """Start an answer that is a stream of events."""
-    answer = web.StreamResponse(headers=signed(request))
+    answer = web.StreamResponse(headers=signed(request) | dict(headers))
     answer.content_type = "text/event-stream"
     answer.enable_chunked_encoding()
     await answer.prepare(request)
