Share the probes that peers ask for, and test relayed requests

Tests: a target hears of a caller that leaves through a relay, an answer that breaks off there is not called not run, and a target that nobody reaches is refused as not run.

--- a/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
@@ -44,6 +44,41 @@
 ]
 
 
+class SharedResults:
+    """Results of checks of targets, each of which serves several requests.
+
+    A check that runs, or ended less than RESULT_RETENTION_MS after its start,
+    isn't started again.
+    """
+
+    def __init__(self, clock: clocks.Clock, group: tasks.TaskGroup) -> None:
+        self._clock = clock
+        self._group = group
+        self._check_by_incarnation: dict[
+            str, tuple[int, asyncio.Task[bool | None]]
+        ] = {}
+
+    async def get(
+        self,
+        incarnation: str,
+        check: typing.Callable[
+            [], typing.Coroutine[typing.Any, typing.Any, bool | None]
+        ],
+    ) -> bool | None:
+        """Return the result of a check of a target's incarnation."""
+        now_ms = self._clock.now_ms()
+        self._check_by_incarnation = {
+            key: (started_ms, task)
+            for key, (started_ms, task) in self._check_by_incarnation.items()
+            if now_ms - started_ms <= RESULT_RETENTION_MS or not task.done()
+        }
+        if incarnation not in self._check_by_incarnation:
+            task = self._group.run_in_background(check())
+            self._check_by_incarnation[incarnation] = (now_ms, task)
+        _, task = self._check_by_incarnation[incarnation]
+        return await asyncio.shield(task)
+
+
 class Reachability:
     """Finds out which targets only peers reach, and through which to relay.
 
@@ -64,9 +99,8 @@
         self._link = link
         self._group = group
         self._ask = ask
-        self._check_by_incarnation: dict[
-            str, tuple[int, asyncio.Task[bool | None]]
-        ] = {}
+        self._peer_results = SharedResults(self._clock, group)
+        self._own_results = SharedResults(self._clock, group)
 
     async def is_reached_by_peers(
         self, record: target_registry.TargetRecord
@@ -75,21 +109,9 @@
 
         Returns None if no peer could tell, and False if there are no peers.
         """
-        now_ms, incarnation = self._clock.now_ms(), record.target.incarnation
-        started_ms, check = self._check_by_incarnation.get(
-            incarnation, (clocks.NEVER_MS, None)
+        return await self._peer_results.get(
+            record.target.incarnation, lambda: self._check(record)
         )
-        if check is None or (
-            check.done() and now_ms - started_ms > RESULT_RETENTION_MS
-        ):
-            check = self._group.run_in_background(self._check(record))
-            self._check_by_incarnation = {
-                key: entry
-                for key, entry in self._check_by_incarnation.items()
-                if now_ms - entry[0] <= RESULT_RETENTION_MS
-                or not entry[1].done()
-            } | {incarnation: (now_ms, check)}
-        return await asyncio.shield(check)
 
     async def _check(
         self, record: target_registry.TargetRecord
@@ -149,7 +171,9 @@
         record = self._state.targets.by_id.get(target_id)
         if record is None or record.target.started_ms != started_ms:
             return None
-        if await self._client.probe(record):
+        if await self._own_results.get(
+            record.target.incarnation, lambda: self._client.probe(record)
+        ):
             return True
         return None if self._state.targets.is_cut_off else False
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,6 +17,7 @@
     violations = asyncio.run(soak.run())
     print(f"seed {seed}, {instances} instances, {seconds:.0f} s")
     print(soak.summary())
+    (folder / "events.txt").write_text("\n".join(soak.ledger.events))
     for violation in violations[:20]:
         print(f"VIOLATION {violation}")
     print(f"{len(violations)} violations; logs in {folder}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -77,6 +77,7 @@
                 continue
             kind = self._random.choice(list(self._kinds))
             self.count_by_kind[kind] += 1
+            self._ledger.note_event(kind)
             await self._kinds[kind]()
 
     def _now_s(self) -> float:
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -188,6 +188,7 @@
             is_stable = self._ledger.store.is_calm(self._now_s())
             leaving.state = "draining"
             self._store.put("servers", leaving.name, leaving.entry())
+            self._ledger.note_event(f"{leaving.name} leaves, {is_stable=}")
             if is_stable:
                 self._ledger.leaving_s[leaving.name] = self._now_s()
             await asyncio.sleep(SERVES_ON_S)
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -138,6 +138,7 @@
             else:
                 self.row_by_name[name] = (raw, version)
         self.era = (self.era or 0) + 1
+        self.oldest_version = min(self.oldest_version, self.version)
         for name, (raw, _) in latest.items():
             is_theirs = name[0] in ("op", "servers")
             if is_theirs and self.row_by_name.get(name, (b"", 0))[0] != raw:
--- a/tests/wire/test_cut_instances.py
+++ b/tests/wire/test_cut_instances.py
@@ -159,6 +159,58 @@
         cuts.run_linked(scenario, plain=3, engines=3, gateways=4)
 
 
+class TestRelayedRequests:
+    """Single requests that go through a peer."""
+
+    def test_target_hears_of_a_caller_that_leaves(self) -> None:
+        """It would work on for nobody."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            (replica,) = linked.deployment.replicas
+            replica.behaviour = standins.never_answer
+            await linked.cut({0}, cuts.Cut.RESET)
+            send = asyncio.create_task(
+                cuts.status_of(linked, 0, "/read/x", "leaves")
+            )
+            await standins.wait_until(lambda: len(replica.requests) == 1)
+            send.cancel()
+            await standins.wait_until(
+                lambda: replica.cancelled_requests == 1, timeout_s=0.5
+            )
+
+        cuts.run_linked(scenario, plain=1, engines=0, gateways=2)
+
+    def test_answer_that_breaks_off_is_not_called_not_run(self) -> None:
+        """A call that may run once has run, although it went by a peer."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            (replica,) = linked.deployment.replicas
+
+            async def run_and_break(
+                replica: standins.ReplicaStandIn, request: web.BaseRequest
+            ) -> web.StreamResponse:
+                standins.reset(request)
+                return web.Response()
+
+            replica.behaviour = run_and_break
+            await linked.cut({0}, cuts.Cut.RESET)
+            status = await cuts.status_of(linked, 0, "/write/x", "breaks")
+            assert status == 502
+            assert len(replica.requests) == 1
+
+        cuts.run_linked(scenario, plain=1, engines=0, gateways=2)
+
+    def test_target_that_nobody_reaches_is_refused_as_not_run(self) -> None:
+        """The caller may send the request again."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            await linked.cut({0, 1, 2}, cuts.Cut.RESET)
+            status = await cuts.status_of(linked, 0, "/write/x", "unsent")
+            assert status == 503
+
+        cuts.run_linked(scenario, plain=1, engines=0, gateways=3)
+
+
 class TestEvidenceOfACutInstance:
     """What an instance says of targets that only it can't reach."""
 
