--- a/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
@@ -171,12 +171,17 @@
         record = self._state.targets.by_id.get(target_id)
         if record is None or record.target.started_ms != started_ms:
             return None
-        if await self._own_results.get(
-            record.target.incarnation, lambda: self._client.probe(record)
-        ):
+        if await self._probe(record):
             return True
         return None if self._state.targets.is_cut_off else False
 
+    async def _probe(self, record: target_registry.TargetRecord) -> bool:
+        return bool(
+            await self._own_results.get(
+                record.target.incarnation, lambda: self._client.probe(record)
+            )
+        )
+
     async def is_reached_soon(
         self, record: target_registry.TargetRecord
     ) -> bool:
@@ -219,7 +224,7 @@
                 self._group.run_in_background(self._try(record))
 
     async def _try(self, record: target_registry.TargetRecord) -> None:
-        if not await self._client.probe(record):
+        if not await self._probe(record):
             if not record.is_relayed:
                 record.record_connect_failure(self._clock.now_ms())
                 await self.is_reached_by_peers(record)
