--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -1010,7 +1010,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            for replica in deployment.replicas[:2]:
+            for replica in deployment.replicas:
                 replica.behaviour = crash
             async with session.post(
                 deployment.url("/read/a"),
@@ -1031,6 +1031,7 @@
             ) as answer:
                 assert answer.status == 503
                 assert float(answer.headers["Retry-After"]) > 0
+            assert sum(len(r.requests) for r in deployment.replicas) == 2
 
         scenarios.run_scenario(scenario, plain=3, engines=0, gateways=2)
 
