--- a/packages/cardamom-policy/src/cardamom_policy/dispatching.py
+++ b/packages/cardamom-policy/src/cardamom_policy/dispatching.py
@@ -8,7 +8,6 @@
 
 import dataclasses
 import itertools
-import random
 import typing
 
 from cardamom_kernel import ids
@@ -109,13 +108,7 @@
     ]
     if not costs:
         return None
-    if prompt_tokens is None:
-        # All instances would choose the same one of several idle replicas.
-        # Prompts that share a part do that on purpose, for the prefix cache.
-        random.shuffle(costs)
-        _, _, best = min(costs, key=lambda cost: cost[0])
-    else:
-        _, _, best = min(costs, key=lambda cost: cost[:2])
+    _, _, best = min(costs, key=lambda cost: cost[:2])
     return Choice(
         best.id, _predicted_ms(best, prompt_tokens), best.adapter_ms > 0
     )
