--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -433,6 +433,18 @@
     return answer
 
 
+async def stream_events(
+    request: web.BaseRequest, count: int, period_s: float
+) -> web.StreamResponse:
+    """Answer with a whole stream of some events."""
+    answer = await begin_stream(request)
+    for number in range(count):
+        await answer.write(event(number))
+        await asyncio.sleep(period_s)
+    await answer.write_eof()
+    return answer
+
+
 def begin_unframed(request: web.BaseRequest) -> asyncio.Transport:
     """Start an answer that ends with its connection."""
     transport = request.transport
--- a/tests/wire/test_crashing_parts.py
+++ b/tests/wire/test_crashing_parts.py
@@ -74,12 +74,7 @@
             self.record.crash_s.append(now_s)
             self._start(self._crash(replica))
             await asyncio.sleep(DOWN_S)
-        answer = await standins.begin_stream(request)
-        for number in range(3):
-            await answer.write(standins.event(number))
-            await asyncio.sleep(0.02)
-        await answer.write_eof()
-        return answer
+        return await standins.stream_events(request, count=3, period_s=0.02)
 
     async def _crash(self, replica: standins.ReplicaStandIn) -> None:
         await replica.crash(DOWN_S)
--- a/tests/wire/test_cut_instances.py
+++ b/tests/wire/test_cut_instances.py
@@ -32,12 +32,7 @@
 ) -> web.StreamResponse:
     """Stream three events, the first one after a while."""
     await asyncio.sleep(RUN_S)
-    answer = await standins.begin_stream(request)
-    for number in range(3):
-        await answer.write(standins.event(number))
-        await asyncio.sleep(0.02)
-    await answer.write_eof()
-    return answer
+    return await standins.stream_events(request, count=3, period_s=0.02)
 
 
 async def prefill_for_long(
--- a/tests/wire/test_silent_targets.py
+++ b/tests/wire/test_silent_targets.py
@@ -21,12 +21,7 @@
 ) -> web.StreamResponse:
     """Stream some events, the first one after a wait in the queue."""
     await asyncio.sleep(QUEUED_S)
-    answer = await standins.begin_stream(request)
-    for number in range(6):
-        await answer.write(standins.event(number))
-        await asyncio.sleep(0.2)
-    await answer.write_eof()
-    return answer
+    return await standins.stream_events(request, count=6, period_s=0.2)
 
 
 class TestSilentTarget:
