--- a/review/kit/deployment.py
+++ b/review/kit/deployment.py
@@ -889,6 +889,8 @@
 def main(case) -> None:
     """Run a case and exit with 1 if the rule was broken, 2 on an error."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes that the case has started are ended also in this case.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(has_trouble), 118))
     except Exception as error:  # the case couldn't run
