Mend two holders of the orders lease after outages of the store

Cause: the holder extends its lease while all others report that they don't reach the store, but nothing bound those that reported so. The successor's wait went on through the outage (OrderLease.run skips contend then), the reports counted for up to 3.2 s, and a holder didn't heed a later holder that told of itself.

Change: an instance takes an expired lease over only a whole lease after its last report that it doesn't reach the store; the holder extends to 3 s after the oldest report; a lease ends once a higher number is heard of. The argument is that of a renewal, with the report in its place.

The test of a holder without the store set the address of a wrapper, so it tested nothing; it sets the store's own now.

--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -30,6 +30,7 @@
 import asyncio
 import typing
 
+from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import rendezvous
 from cardamom_policy import fleet_windows
@@ -82,6 +83,8 @@
         self._is_rate_report_pending = False
         # The highest fencing number that a holder of the lease has told of.
         self.highest_term = 0
+        # When this instance last reported that it doesn't reach the store.
+        self.told_unreached_ms: int = clocks.NEVER_MS
         self.link = peers.PeerLink(
             state.settings,
             state.clock,
@@ -191,7 +194,10 @@
         """Return the fields that every message carries."""
         update: peers.StateUpdate = dict(self.versions())
         update["up"] = self._up_ms()
-        update["store"] = int(self._is_store_reached())
+        is_store_reached = self._is_store_reached()
+        if not is_store_reached:
+            self.told_unreached_ms = self._clock.now_ms()
+        update["store"] = int(is_store_reached)
         if self._is_store_reader():
             update["rd"] = 1
         if self._state.is_stopping:
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -161,6 +161,7 @@
             order_lease.LEASE_TTL_MS,
             order_lease.RESTART_MS,
             lambda: self.exchange.highest_term,
+            lambda: self.exchange.told_unreached_ms,
         )
         self.placer = placing.Placer(
             state,
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
@@ -16,7 +16,9 @@
 LEASE_NAME = "orders"
 # Longer than the delay of a slow store.  A successor waits this long.
 LEASE_TTL_MS = 4_000
-LEASE_EXTENSION_MS = 1_500  # until peers have reported their state again
+# After a member's report, and a second less than the time for which the member
+# then waits: the report may have been delayed.
+LEASE_EXTENSION_MS = 3_000
 LEASE_RENEW_MS = 1_300  # three renewals within a lease
 LEASE_RETRY_MS = 300  # while the lease may become free
 SUCCESSOR_POLL_MS = 1_500  # between a successor's reads of the lease
@@ -92,19 +94,20 @@
     def _extend_lease(self) -> None:
         """Extend the lease while no instance can write to the store.
 
-        This is safe because a successor must first see the row unchanged for
-        a whole lease, and every instance reports that it cannot reach the
-        store.
+        The members report that they don't reach it.  This is safe because a
+        member takes the lease over only a whole lease after its last report
+        of that kind, even if the store's row hasn't changed for longer.
         """
-        peer_by_id = {
-            peer.member.id: peer for peer in self._exchange.link.fresh_peers()
-        }
-        members_without_store = {
-            member
-            for member, peer in peer_by_id.items()
+        report_ms_by_member = {
+            peer.member.id: peer.received_ms
+            for peer in self._exchange.link.fresh_peers()
             if not peer.update.get("store", 1)
         }
-        if self._lease.fence() and members_without_store >= set(
-            self._exchange.link.member_by_id
+        if not set(self._exchange.link.member_by_id) <= set(
+            report_ms_by_member
         ):
-            self._lease.extend(LEASE_EXTENSION_MS)
+            return
+        oldest_ms = min(
+            report_ms_by_member.values(), default=self._clock.now_ms()
+        )
+        self._lease.extend(oldest_ms + LEASE_EXTENSION_MS)
--- a/packages/cardamom-kernel/src/cardamom_kernel/leases.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/leases.py
@@ -57,7 +57,9 @@
     again, so that a restarted process keeps it.  ``number_floor`` returns the
     highest fencing number that other instances have told of: a row with a
     lower one came back from an older copy, and a holder that it doesn't show
-    may still rely on the lease.
+    may still rely on the lease.  ``told_unreached_ms`` returns the last time
+    at which this instance told others that it can't reach the table: a holder
+    may have extended the lease on the strength of it, see ``extend``.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         ttl_ms: int = LEASE_TTL_MS,
         return_ms: int = 0,
         number_floor: typing.Callable[[], int] = lambda: 0,
+        told_unreached_ms: typing.Callable[[], int] = lambda: clocks.NEVER_MS,
     ) -> None:
         self._table = table
         self._clock = clock
@@ -77,6 +80,7 @@
         self._ttl_ms = ttl_ms
         self._return_ms = return_ms
         self._number_floor = number_floor
+        self._told_unreached_ms = told_unreached_ms
         self._highest_number = 0
         self._fence: Fence | None = None
         self._lock = asyncio.Lock()
@@ -86,26 +90,30 @@
         self.seen_note: tables.Body = {}
 
     def fence(self) -> Fence | None:
-        """Return the fence if the lease is held now, else None."""
+        """Return the fence if the lease is held now, else None.
+
+        It isn't held any more once a later holder is known.
+        """
         fence = self._fence
         if fence is None or self._clock.now_ms() >= fence.until_ms:
             return None
-        return fence
+        return None if fence.number < self._number_floor() else fence
 
     @property
     def drift_ms(self) -> int:
         """Return how long a contender waits beyond ``ttl_ms``."""
         return self._ttl_ms * CLOCK_DRIFT_PERCENT // 100
 
-    def extend(self, duration_ms: int) -> None:
-        """Extend a held lease locally to ``duration_ms`` from now.
+    def extend(self, until_ms: int) -> None:
+        """Extend a held lease locally to ``until_ms``.
 
         Never shortens the lease, and does nothing if it is not held.  This
-        is safe only if no contender can reach the table in the meantime.
+        is safe if every contender has told, no longer than ``ttl_ms`` before
+        ``until_ms``, that it can't reach the table: each waits for a whole
+        lease after the last time that it told so.
         """
         fence = self.fence()
         if fence is not None:
-            until_ms = self._clock.now_ms() + duration_ms
             self._fence = dataclasses.replace(
                 fence, until_ms=max(fence.until_ms, until_ms)
             )
@@ -180,7 +188,7 @@
         if fence is not None and number < fence.number:
             return True  # the row came back from an older copy
         if number < self._known_number():
-            return now_ms - self._seen_ms >= self._ttl_ms + self.drift_ms
+            return self._is_expired(now_ms)
         self._highest_number = number
         if row.body["holder"] == self._holder:
             return True
@@ -188,7 +196,12 @@
             is_return = row.body.get("released_by") == self._holder
             return is_return or now_ms - self._seen_ms >= self._return_ms
         self._fence = None
-        return now_ms - self._seen_ms >= self._ttl_ms + self.drift_ms
+        return self._is_expired(now_ms)
+
+    def _is_expired(self, now_ms: int) -> bool:
+        """Return whether no other holder can rely on the lease any more."""
+        since_ms = max(self._seen_ms, self._told_unreached_ms())
+        return now_ms - since_ms >= self._ttl_ms + self.drift_ms
 
     async def _write(self, row: tables.Row | None) -> LeaseState:
         sent_ms = self._clock.now_ms()
--- a/tests/kernel/test_leases.py
+++ b/tests/kernel/test_leases.py
@@ -304,3 +304,65 @@
             assert fence is not None and fence.number == 6
 
         asyncio.run(run())
+
+
+class TestExtension:
+    """A holder that extends its lease while no contender reaches the table."""
+
+    def test_wait_begins_after_the_extensions_that_the_contender_allowed(
+        self,
+    ) -> None:
+        """Two holders at once after an outage in which none tried to write.
+
+        The contender read nothing during the outage, so the row looks
+        unchanged since before it.
+        """
+
+        async def run() -> None:
+            contenders = Contenders()
+            clock, told_ms = contenders.clock, [0]
+            holder = contenders.lease("a")
+            other = leases.Lease(
+                contenders.table,
+                clock,
+                "orders",
+                ids.InstanceId("b"),
+                told_unreached_ms=lambda: told_ms[0],
+            )
+            await holder.contend()
+            assert await other.contend() is leases.LeaseState.OTHER
+            for _ in range(3):
+                clock.step(leases.LEASE_TTL_MS // 2)
+                told_ms[0] = clock.now_ms()
+                holder.extend(clock.now_ms() + leases.LEASE_TTL_MS)
+            assert await other.contend() is leases.LeaseState.OTHER
+            assert holder.fence() is not None
+            clock.step(leases.LEASE_TTL_MS + other.drift_ms - 1)
+            assert await other.contend() is leases.LeaseState.OTHER
+            clock.step(1)
+            assert holder.fence() is None
+            assert await other.contend() is leases.LeaseState.HELD
+
+        asyncio.run(run())
+
+    def test_lease_ends_once_a_later_holder_is_known(self) -> None:
+        """Two holders at once, as one extends without the table."""
+
+        async def run() -> None:
+            contenders, known_number = Contenders(), [0]
+            holder = leases.Lease(
+                contenders.table,
+                contenders.clock,
+                "orders",
+                ids.InstanceId("a"),
+                number_floor=lambda: known_number[0],
+            )
+            await holder.contend()
+            fence = holder.fence()
+            assert fence is not None
+            known_number[0] = fence.number
+            assert holder.fence() == fence
+            known_number[0] = fence.number + 1
+            assert holder.fence() is None
+
+        asyncio.run(run())
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -16,6 +16,7 @@
 from cardamom_gateway import sockets
 from cardamom_kernel import ids
 from cardamom_kernel import tables
+from cardamom_wire import store as store_module
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -1071,7 +1072,9 @@
             broken = standins.StoreStandIn()
             broken.is_down = True
             await broken.start()
-            holder._store._base = f"http://{broken.address}"
+            store = holder._store._store
+            assert isinstance(store, store_module.HttpStore)
+            store._base = f"http://{broken.address}"
             deployment.store.put("servers", "p9", b"{}")
             await asyncio.sleep(5.5)  # longer than a lease
             later_fence = holder.lease.fence()
--- a/tests/wire/test_store_outages.py
+++ b/tests/wire/test_store_outages.py
@@ -8,6 +8,7 @@
 from cardamom_gateway import gateway as gateway_module
 from cardamom_gateway import interfaces
 from cardamom_gateway import member_rows
+from cardamom_gateway import order_lease
 from cardamom_gateway import target_registry
 from cardamom_kernel import tables
 from cardamom_wire import store as store_module
@@ -185,6 +186,67 @@
         scenarios.run_scenario(scenario, plain=2, engines=0)
 
 
+class TestOrdersAroundOutages:
+    """Outages of the whole store that are longer than the lease for orders."""
+
+    OUTAGE_S = order_lease.LEASE_TTL_MS / 1000 + 0.8
+    MOMENT_S = 0.8
+
+    def test_at_most_one_instance_orders(self) -> None:
+        """A successor counted the outage as silence of the holder.
+
+        Between two outages the store serves all instances but the holder.
+        """
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            gateways, store = deployment.gateways, deployment.store
+            await standins.wait_until(
+                lambda: any(g.placer.may_order for g in gateways)
+            )
+            holder = next(g for g in gateways if g.placer.may_order)
+            (other,) = (g for g in gateways if g is not holder)
+            await standins.wait_until(
+                lambda: other.lease.seen_holder == holder.settings.instance
+            )
+            ordering: set[str] = set()
+            watch = asyncio.create_task(watch_orders(gateways, ordering))
+            calls_of_holder = holder._store._store
+            assert isinstance(calls_of_holder, store_module.HttpStore)
+            for _ in range(2):
+                store.is_down = True
+                store.forget_history()  # ends the open feed calls
+                await asyncio.sleep(self.OUTAGE_S)
+                calls_of_holder._base = "http://127.0.0.1:9"
+                store.is_down = False
+                await asyncio.sleep(self.MOMENT_S)
+            store.is_down = True
+            store.forget_history()
+            await asyncio.sleep(self.OUTAGE_S)
+            calls_of_holder._base = f"http://{store.address}"
+            store.is_down = False
+            await asyncio.sleep(self.MOMENT_S)
+            assert not watch.done()
+            watch.cancel()
+            assert ordering == {holder.settings.instance}
+
+        scenarios.run_scenario(scenario, plain=1, engines=1, gateways=2)
+
+
+async def watch_orders(
+    gateways: list[gateway_module.Gateway], ordering: set[str]
+) -> None:
+    """Record which instances may order, until cancelled."""
+    while True:
+        ordering |= {
+            gateway.settings.instance
+            for gateway in gateways
+            if gateway.placer.may_order
+        }
+        await asyncio.sleep(0.01)
+
+
 class TestMalformedEntry:
     """An entry that another writer has got wrong."""
 
