Count crashes of targets that no peer can confirm

Cause: a crash counts once a peer says that it doesn't reach the target either. The row of a lost instance stays for 600 s, so there was a member, nobody to ask, and the answer "no peer could tell" dropped the crash. A peer that was lost less than 3.2 s ago is asked and doesn't answer, which gave the same.

Change: where no peer can tell, new connections to other targets show whether this instance is cut off. If they show nothing, the case stays open until the target is reached again or its entry is gone.

--- a/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
@@ -3,11 +3,13 @@
 A connection that fails shows nothing of a target's state: this instance's own
 link may be broken.  Peers in several data centres are therefore asked to
 connect to the target.  If one of them reaches it, requests go through peers
-(``relaying``) until a connection from here succeeds again.
+(``relaying``) until a connection from here succeeds again.  If none can tell,
+connections from here to other targets show whether this instance is cut off.
 """
 
 import asyncio
 import collections
+import enum
 import itertools
 import random
 import typing
@@ -29,6 +31,11 @@
 MAX_ASKED_PEERS = 5
 # A result is used again for this long.
 RESULT_RETENTION_MS = 300
+# Other targets that are tried if no peer can tell.  Some may be down, too.
+MAX_TRIED_TARGETS = 3
+# A crashed target's entry is gone, or that of its next start there, by then.
+MAX_STATUS_WAIT_MS = 6_000
+STATUS_CHECK_PERIOD_MS = 500
 # A request waits no longer than this to hear that peers reach a target.
 MAX_REQUEST_WAIT_MS = 150
 MS_PER_S = 1000
@@ -44,6 +51,14 @@
 ]
 
 
+class TargetStatus(enum.Enum):
+    """Whether a target that this instance can't reach is down."""
+
+    UP = "up"
+    DOWN = "down"
+    UNKNOWN = "unknown"
+
+
 class SharedResults:
     """Results of checks of targets, each of which serves several requests.
 
@@ -107,7 +122,9 @@
     ) -> bool | None:
         """Return whether peers reach a target that this instance doesn't.
 
-        Returns None if no peer could tell, and False if there are no peers.
+        If no peer could tell, returns False if this instance reaches other
+        targets, so that the target itself must be down, and else None.
+        Returns False, too, if there are no peers.
         """
         return await self._peer_results.get(
             record.target.incarnation, lambda: self._check(record)
@@ -118,8 +135,8 @@
     ) -> bool | None:
         target = record.target
         members = self._members_to_ask()
-        if not members:
-            return None if self._link.member_by_id else False
+        if not self._link.member_by_id:
+            return False
         asked = [
             asyncio.ensure_future(
                 self._ask(member, target.id, target.started_ms)
@@ -136,7 +153,25 @@
         finally:
             for call in asked:
                 call.cancel()
-        return False if False in results else None
+        if False in results or await self._is_target_down(record):
+            return False
+        return None
+
+    async def _is_target_down(
+        self, record: target_registry.TargetRecord
+    ) -> bool:
+        """Return whether this instance reaches other targets, but not this.
+
+        The target is tried last, as a cut may have ended meanwhile.
+        """
+        others = [
+            other
+            for other in self._state.targets.by_id.values()
+            if other is not record and not other.is_relayed
+        ]
+        tried = random.sample(others, min(len(others), MAX_TRIED_TARGETS))
+        reached = await asyncio.gather(*map(self._probe, tried))
+        return any(reached) and not await self._client.probe(record)
 
     def _members_to_ask(self) -> list[peers.Member]:
         """Return peers that aren't cut off, of as many data centres as can be.
@@ -175,6 +210,26 @@
             return True
         return None if self._state.targets.is_cut_off else False
 
+    async def determine_status(
+        self, record: target_registry.TargetRecord
+    ) -> TargetStatus:
+        """Return whether a target that isn't reached from here is down.
+
+        While nobody can tell, waits until the target is reached again or its
+        entry is gone, at most for MAX_STATUS_WAIT_MS.
+        """
+        end_ms = self._clock.now_ms() + MAX_STATUS_WAIT_MS
+        while self._clock.now_ms() < end_ms:
+            is_reached = await self.is_reached_by_peers(record)
+            if is_reached is not None:
+                return TargetStatus.UP if is_reached else TargetStatus.DOWN
+            await self._clock.sleep_ms(STATUS_CHECK_PERIOD_MS)
+            if self._state.targets.has_ended_unplanned(record):
+                return TargetStatus.DOWN
+            if await self._probe(record):
+                return TargetStatus.UP
+        return TargetStatus.UNKNOWN
+
     async def _probe(self, record: target_registry.TargetRecord) -> bool:
         return bool(
             await self._own_results.get(
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -354,6 +354,15 @@
             and target.entry_sequence <= removed.entry_sequence
         )
 
+    def has_ended_unplanned(self, record: TargetRecord) -> bool:
+        """Return whether a target is gone without having said it would be.
+
+        Another start of it may have taken its place.
+        """
+        return self.by_id.get(record.target.id) is not record and (
+            record.target.state is model.TargetState.READY
+        )
+
     def remove_absent(
         self,
         present: typing.Collection[ids.TargetId],
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
@@ -119,8 +119,9 @@
     async def _probe_broken(self, attempt: attempts.Attempt) -> None:
         """Record a loss for the request if its target has crashed.
 
-        That takes a peer that doesn't reach it either: otherwise only the
-        link from here may be broken.
+        A peer that doesn't reach it either shows that, or this instance's
+        connections to other targets: otherwise only the link from here may be
+        broken.
         """
         accused = (
             attempt.part_digests if attempt.may_have_crashed_target else ()
@@ -130,7 +131,14 @@
         if await self._client.probe(record):
             return
         record.record_connect_failure(self._clock.now_ms())
-        if await self._reachability.is_reached_by_peers(record) is not False:
+        status = await self._reachability.determine_status(record)
+        if status is not reachability.TargetStatus.DOWN:
+            LOG.info(
+                "gateway: no crash recorded for a broken request",
+                target=record.target.id,
+                request=attempt.fingerprint,
+                status=status.value,
+            )
             return
         losses = self._state.suspicions.record_crash(
             attempt.fingerprint, record.target.incarnation
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -58,6 +58,11 @@
         await site.start()
         self.port = site._server.sockets[0].getsockname()[1]
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether it has been started and not stopped since."""
+        return self._runner is not None
+
     async def stop_listening(self) -> None:
         """Refuse new connections; open ones stay open."""
         assert self._runner is not None
--- a/tests/wire/test_cut_instances.py
+++ b/tests/wire/test_cut_instances.py
@@ -213,32 +213,53 @@
         self,
     ) -> None:
         """Its broken links looked like crashes under the prompts."""
+        cuts.run_linked(
+            assert_no_prompt_is_refused_after_resets,
+            plain=0,
+            engines=8,
+            gateways=3,
+        )
 
-        async def scenario(linked: cuts.LinkedDeployment) -> None:
-            behave(linked.deployment)
-            for engine in linked.deployment.replicas:
-                engine.behaviour = prefill_for_long
-            for number in range(RESETS):
-                streams = [
-                    asyncio.create_task(
-                        send_stream(linked, 0, f"{number}-{n}")
-                    )
-                    for n in range(BROKEN_STREAMS)
-                ]
-                await asyncio.sleep(PREFILL_S / 2)
-                await linked.cut({0}, cuts.Cut.RESET)
-                await asyncio.gather(*streams)
-                await asyncio.sleep(RESET_S)
-                await linked.restore({0})
-                await asyncio.sleep(RECOVERY_S)
-            behave(linked.deployment)
-            statuses = [
-                await send_stream(linked, number % 3, f"sound-{number}")
-                for number in range(SOUND_STREAMS)
-            ]
-            assert statuses.count(200) == SOUND_STREAMS
+    def test_sound_prompts_are_not_refused_after_resets_of_the_last_one(
+        self,
+    ) -> None:
+        """No peer says that the targets are reached by others."""
 
-        cuts.run_linked(scenario, plain=0, engines=8, gateways=3)
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            for gateway in linked.deployment.gateways[1:]:
+                await gateway.close()
+            del linked.deployment.gateways[1:]
+            await assert_no_prompt_is_refused_after_resets(linked)
+
+        cuts.run_linked(scenario, plain=0, engines=8, gateways=2)
+
+
+async def assert_no_prompt_is_refused_after_resets(
+    linked: cuts.LinkedDeployment,
+) -> None:
+    """Cut one instance from all targets several times under streams."""
+    behave(linked.deployment)
+    for engine in linked.deployment.replicas:
+        engine.behaviour = prefill_for_long
+    for number in range(RESETS):
+        streams = [
+            asyncio.create_task(send_stream(linked, 0, f"{number}-{n}"))
+            for n in range(BROKEN_STREAMS)
+        ]
+        await asyncio.sleep(PREFILL_S / 2)
+        await linked.cut({0}, cuts.Cut.RESET)
+        await asyncio.gather(*streams)
+        await asyncio.sleep(RESET_S)
+        await linked.restore({0})
+        await asyncio.sleep(RECOVERY_S)
+    behave(linked.deployment)
+    statuses = [
+        await send_stream(
+            linked, number % len(linked.deployment.gateways), f"sound-{number}"
+        )
+        for number in range(SOUND_STREAMS)
+    ]
+    assert statuses.count(200) == SOUND_STREAMS
 
 
 class TestCutHolderOfOrders:
--- a/tests/wire/test_suspects.py
+++ b/tests/wire/test_suspects.py
@@ -3,8 +3,11 @@
 import asyncio
 
 import aiohttp
+from aiohttp import web
+import pytest
 
 from cardamom_gateway import gateway as gateway_module
+from cardamom_gateway import peers
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -25,6 +28,87 @@
     )
 
 
+# A peer that was lost may still be asked for so long.
+PEER_SILENCE_S = peers.MAX_PEER_AGE_MS / 1000 + 0.3
+BACK_S = 0.5
+CRASHES_TO_REFUSE = 2
+
+
+async def crash(
+    replica: standins.ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Crash for good; a new target takes its place."""
+    await replica.stop_listening()
+    standins.reset(request)
+    return web.Response()
+
+
+class TestLostPeers:
+    """Crashes that no other instance can confirm."""
+
+    @pytest.mark.parametrize("silence_s", [0.0, PEER_SILENCE_S])
+    @pytest.mark.parametrize("plain", [1, 2])
+    def test_request_that_crashes_targets_is_refused_by_the_last_instance(
+        self, plain: int, silence_s: float
+    ) -> None:
+        """Crashes were not counted, as no peer could be asked.
+
+        The row of a lost instance stays in the store for minutes.
+        """
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            lost = deployment.gateways.pop()
+            await lost.close()
+            await asyncio.sleep(silence_s)
+            for number in range(CRASHES_TO_REFUSE):
+                for replica in deployment.replicas:
+                    replica.behaviour = crash
+                async with session.post(
+                    deployment.url("/write/a"),
+                    data=b"poison",
+                    headers=scenarios.headers(f"a{number}"),
+                ) as answer:
+                    assert answer.status == 502
+                await wait_for_crashes(deployment, number + 1)
+            crashed = sum(len(r.requests) for r in deployment.replicas)
+            async with session.post(
+                deployment.url("/write/a"),
+                data=b"poison",
+                headers=scenarios.headers("last"),
+            ) as answer:
+                assert answer.status == 503
+            assert crashed == sum(len(r.requests) for r in deployment.replicas)
+
+        scenarios.run_scenario(scenario, plain=plain, engines=0, gateways=2)
+
+
+async def wait_for_crashes(
+    deployment: standins.Deployment, crashes: int
+) -> None:
+    """Replace the crashed target; wait until its crash has been counted."""
+    crashed = next(r for r in deployment.replicas if r.requests and r.is_up)
+    await crashed.stop()
+    await asyncio.sleep(BACK_S)
+    new = standins.ReplicaStandIn(
+        f"p{len(deployment.replicas)}", crashed.service
+    )
+    deployment.replicas.append(new)
+    await new.start()
+    deployment.register(new)
+    deployment.store.remove("servers", crashed.name)
+    (gateway,) = deployment.gateways
+    await standins.wait_until(
+        lambda: (
+            new.name in gateway.state.targets.by_id
+            and crashed.name not in gateway.state.targets.by_id
+            and crashes
+            in {len(r.losses) for r in gateway.state.suspicions.export()}
+        )
+    )
+
+
 class TestCrashOfABusyTarget:
     """A target that crashes with many requests in flight."""
 
