Store a software version before streams begin at it

Reported by other operators (ORDER): after a kill of all instances, streams that were taken up again were joined from two software versions.

Cause here: after a kill of all, a stream's version is known only from the stored versions and the present targets. The row was written up to 0.7 s after a version came (later without a holder), while streams began there at once; and a holder that had just started wrote a row of what it saw, which then looked complete.

Change: streams that may be resumed begin at a version once this instance has read it in the row (for 2 s at most, and while other targets serve); the holder writes the row when it sees the version; an instance that may have missed versions writes none, and origins are reported meanwhile.

Evidence: the new test of a kill of all fails before (a stream of v2 goes on at v1, status 200) and passes now, as do the four of the stored versions.

--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -132,8 +132,8 @@
             self.link,
             self._base_update,
             is_store_reached,
+            state.settings.is_first_start,
         )
-        state.targets.on_software = self.origins.report_all
         self.limits = target_limits.TargetLimits(
             state.settings.instance,
             self._clock,
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -64,6 +64,7 @@
         on_cleared: typing.Callable[[str], None],
         suspect_parts: suspect_reports.SuspectReports,
         find_origin: OriginFinder,
+        may_begin_stream: typing.Callable[[model.Target], bool],
         on_stream_begun: typing.Callable[
             [ids.AttemptId, stream_origins.Origin], None
         ],
@@ -75,7 +76,7 @@
             state, report_rates, suspect_parts
         )
         self._choice = target_choice.TargetChoice(
-            state, load_adapter, report_waiting
+            state, load_adapter, report_waiting, may_begin_stream
         )
         self._answers = caller_answers.CallerAnswers(state)
         self._suspect_parts = suspect_parts
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -138,6 +138,7 @@
             lambda: self.store_watch.is_reader(),
             lambda sender, update: self.store_watch.receive(sender, update),
         )
+        state.targets.on_software = self._report_software
         self.link = self.exchange.link
         self.peer_calls = peer_calls.PeerCalls(
             state,
@@ -214,6 +215,7 @@
             self.exchange.suspects.note_cleared,
             self.exchange.suspect_parts,
             self._find_origin,
+            self.exchange.origins.may_begin,
             self.exchange.origins.note_begun,
             self.permit_client,
             self.reachability,
@@ -602,6 +604,11 @@
             row = stored_suspects.encode(suspects, store_clock_ms)
             await self._table.commit({}, {SUSPECTS_KEY: row})
 
+    def _report_software(self, service: model.ServiceId) -> None:
+        """Tell peers and the store of a service's other software version."""
+        self.exchange.origins.report_all(service)
+        self._group.run_in_background(self._store_software())
+
     async def _store_software(self) -> None:
         """Store the targets' software versions when they have changed."""
         if not self.placer.is_holder or not self.fleet.is_reached:
--- a/packages/cardamom-gateway/src/cardamom_gateway/settings.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/settings.py
@@ -27,7 +27,9 @@
     """Settings that a gateway reads at its start.
 
     ``grace_ms`` is the longest duration of a planned shutdown.  ``lease_ms``
-    is the shortest interval between orders of two lease holders.  The others
+    is the shortest interval between orders of two lease holders, and
+    ``is_first_start`` whether the whole deployment starts for the first time,
+    so that the store's rows can't be missing any earlier ones.  The others
     are the limits of the retry budget (``retry_``), of the teams' rates
     (``rate_``) and of loads (``load_``), with their sliding windows.
     """
@@ -50,6 +52,7 @@
     rate_tolerance: float
     load_window_ms: int
     load_overage: float
+    is_first_start: bool = False
 
 
 def find_errors(settings: GatewaySettings) -> typing.Iterator[str]:
--- a/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
@@ -9,7 +9,8 @@
 Origins are reported only while a service has more than one version.  Without
 a report the origin is still known if all targets of the last
 ``RETENTION_MS`` had one version; otherwise it is unknown.  So that this holds
-after a restart of all instances, the lease holder stores the versions.
+after a restart of all instances, the lease holder stores the versions, and
+streams begin at another version only once it is stored.
 """
 
 import asyncio
@@ -40,6 +41,8 @@
 MAX_OWNER_SILENCE_MS = 15_000
 # Longer than callers wait for a stream over all their tries.
 RETENTION_MS = target_registry.SOFTWARE_RETENTION_MS
+# Streams begin at a version that can't be stored after this time.
+MAX_UNSTORED_MS = 2_000
 MAX_RECORDS = 50_000
 MAX_ORIGINS_PER_MESSAGE = 100  # about 3 KB
 
@@ -87,7 +90,8 @@
     ``base_update`` returns the fields that every message carries.
     ``stored_versions_by_service`` are the versions of the last RETENTION_MS
     as a lease holder stored them, None before the row has been read, and
-    ``is_stored`` whether the store still has that row.
+    ``is_stored`` whether the store still has that row.  ``is_first_start`` is
+    whether no version can have served before this instance started.
     """
 
     def __init__(
@@ -98,7 +102,9 @@
         link: peers.PeerLink,
         base_update: typing.Callable[[], peers.StateUpdate],
         is_store_reached: typing.Callable[[], bool],
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
         self._instance = instance
         self._clock = clock
         self._targets = targets
@@ -113,9 +119,27 @@
     def note_begun(self, attempt: ids.AttemptId, origin: Origin) -> None:
         """Record a stream whose first event is about to be relayed."""
         self._record(attempt, origin)
-        if attempt and len(self._versions(origin.service)) > 1:
+        if attempt and not self._is_only_version(origin.service):
             self._report([attempt])
 
+    def _is_only_version(self, service: model.ServiceId) -> bool:
+        """Return whether a restart of all leaves no doubt of the version."""
+        stored = self.stored_versions_by_service
+        return stored is not None and len(self._versions(service)) == 1
+
+    def may_begin(self, target: model.Target) -> bool:
+        """Return whether streams may begin at a target's software version.
+
+        A version that isn't stored would be unknown after a restart of all
+        instances.
+        """
+        stored = self.stored_versions_by_service
+        return (
+            stored is None
+            or target.software_version in stored.get(target.service, ())
+            or self._targets.software_age_ms(target) >= MAX_UNSTORED_MS
+        )
+
     def report_all(self, service: model.ServiceId) -> None:
         """Report the streams of a service that has got another version."""
         self._report(
@@ -150,7 +174,17 @@
         )
 
     def versions_to_store(self) -> VersionsByService | None:
-        """Return the versions to be stored, None if the row is current."""
+        """Return the versions to be stored, None if the row is current.
+
+        An instance that may not know all recent versions stores none, as the
+        row would hide the others.
+        """
+        if not (
+            self._is_settled()
+            or self._is_first_start
+            or self.stored_versions_by_service is not None
+        ):
+            return None
         versions = {
             service: self._targets.recent_software(service)
             if self._is_settled()
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
@@ -49,6 +49,8 @@
 
     ``load_adapter`` has an adapter loaded at a target and returns whether it
     is; ``report_waiting`` tells the holder of orders of waiting requests.
+    ``may_begin_stream`` returns whether a stream that may be resumed may begin
+    at a target; others are taken only if there is none of these.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         state: state_module.GatewayState,
         load_adapter: AdapterLoader,
         report_waiting: typing.Callable[[], None],
+        may_begin_stream: typing.Callable[[model.Target], bool],
     ) -> None:
         self._state = state
+        self._may_begin_stream = may_begin_stream
         self._load_adapter = load_adapter
         self._report_waiting = report_waiting
 
@@ -69,7 +73,7 @@
         Raises RequestRefused if there is none, or if it would answer too late.
         """
         if call.service.engine is None:
-            records = _with_software(
+            records = self._with_software(
                 call, self._state.targets.of_service(call.service.id)
             )
             return self._choose_record(call, records, None)
@@ -179,17 +183,38 @@
         records = self._state.targets.targets_with_model(
             call.service.id, model_name
         )
-        return [
+        untried = [
             record
-            for record in _with_software(call, records)
+            for record in records
             if record.target.id not in call.tried_targets
         ]
+        return self._with_software(call, untried)
+
+    def _with_software(
+        self,
+        call: admission.Call,
+        records: list[target_registry.TargetRecord],
+    ) -> list[target_registry.TargetRecord]:
+        """Return the targets that may begin or continue a call's stream."""
+        if call.software_version is not None:
+            return [
+                record
+                for record in records
+                if record.target.software_version == call.software_version
+            ]
+        if not call.route.is_resumable:
+            return records
+        return [
+            record
+            for record in records
+            if self._may_begin_stream(record.target)
+        ] or records
 
     def _check_software(self, call: admission.Call) -> None:
         """Raise RequestRefused if no target can continue the stream."""
         if call.software_version is None:
             return
-        records = _with_software(
+        records = self._with_software(
             call, self._state.targets.of_service(call.service.id)
         )
         if any(r.target.id not in call.tried_targets for r in records):
@@ -321,17 +346,6 @@
         )
 
 
-def _with_software(
-    call: admission.Call, records: list[target_registry.TargetRecord]
-) -> list[target_registry.TargetRecord]:
-    """Return the targets that can continue a call's stream."""
-    return [
-        record
-        for record in records
-        if call.software_version in (None, record.target.software_version)
-    ]
-
-
 def target_failed(
     call: admission.Call, reason: str, step: outcomes.Step
 ) -> outcomes.RequestRefused:
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -261,6 +261,7 @@
             _ignore_service
         )
         self._software_seen_ms: dict[tuple[model.ServiceId, str], int] = {}
+        self._software_since_ms: dict[tuple[model.ServiceId, str], int] = {}
         self._removed_by_id: dict[ids.TargetId, tuple[int, model.Target]] = {}
         self._loaded_by_peer: dict[str, list[ids.TargetId]] = {}
 
@@ -391,7 +392,17 @@
     def _note_software(self, target: model.Target) -> None:
         """Record when a software version of a service was last seen."""
         key = (target.service, target.software_version)
-        self._software_seen_ms[key] = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        seen_ms = self._software_seen_ms.get(key, clocks.NEVER_MS)
+        if now_ms - seen_ms > SOFTWARE_RETENTION_MS:
+            self._software_since_ms[key] = now_ms
+        self._software_seen_ms[key] = now_ms
+
+    def software_age_ms(self, target: model.Target) -> int:
+        """Return for how long a target's software version has been known."""
+        key = (target.service, target.software_version)
+        now_ms = self._clock.now_ms()
+        return now_ms - self._software_since_ms.get(key, now_ms)
 
     def _is_new_software(self, target: model.Target) -> bool:
         """Return whether a target adds a software version to others."""
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -39,7 +39,7 @@
             for _ in range(size)
         ]
         self.origins = [
-            self._start(registry, link)
+            self._start(registry, link, is_first_start=True)
             for registry, link in zip(
                 self.registries, self.network.links, strict=True
             )
@@ -51,6 +51,7 @@
         self,
         registry: target_registry.TargetRegistry,
         link: peers.PeerLink,
+        is_first_start: bool,
     ) -> stream_origins.StreamOrigins:
         origins = stream_origins.StreamOrigins(
             link._settings.instance,
@@ -59,6 +60,7 @@
             link,
             lambda: {"up": 0},
             lambda: self.is_store_reached,
+            is_first_start,
         )
         registry.on_software = origins.report_all
         return origins
@@ -89,9 +91,16 @@
     def restart(self, number: int) -> None:
         """Replace an instance, which forgets everything but its targets."""
         self.origins[number] = self._start(
-            self.registries[number], self.network.links[number]
+            self.registries[number],
+            self.network.links[number],
+            is_first_start=False,
         )
 
+    def store(self, *versions: str) -> None:
+        """Let all instances read these versions from the store."""
+        for origins in self.origins:
+            origins.stored_versions_by_service = {SERVICE: frozenset(versions)}
+
     async def _ask(
         self,
         member: peers.Member,
@@ -141,6 +150,7 @@
     ) -> None:
         """A stream could go on at a version that was released after it."""
         fleet = Fleet(9, "v1")
+        fleet.store("v1")
         fleet.origins[0].note_begun(STREAM, V1)
         assert not fleet.network.queue
         fleet.add_target(1, "v2")
@@ -229,6 +239,43 @@
         fleet.settle()
         assert origins.versions_to_store() == {SERVICE: {"v1"}}
 
+    def test_instance_that_may_have_missed_a_version_stores_none(
+        self,
+    ) -> None:
+        """Its row would look complete after a restart of all.
+
+        The row before is lost with an older copy of the store.
+        """
+        fleet = Fleet(9, "v2")
+        fleet.restart(3)
+        assert fleet.origins[3].versions_to_store() is None
+        fleet.settle()
+        assert fleet.origins[3].versions_to_store() == {SERVICE: {"v2"}}
+
+    def test_streams_are_reported_while_no_version_is_stored(self) -> None:
+        """They couldn't be taken up elsewhere until the row is written."""
+        fleet = Fleet(9, "v1")
+        for number in range(9):
+            fleet.restart(number)
+        fleet.origins[0].note_begun(STREAM, V1)
+        fleet.network.deliver()
+        fleet.restart(0)
+        assert {fleet.find(number) for number in range(9)} == {V1}
+
+    def test_streams_begin_at_a_version_once_it_is_stored(self) -> None:
+        """A restart of all could leave nobody who knows of the version."""
+        fleet = Fleet(1, "v1")
+        origins, registry = fleet.origins[0], fleet.registries[0]
+        fleet.store("v1")
+        fleet.add_target(1, "v2")
+        old, new = (record.target for record in registry.by_id.values())
+        assert origins.may_begin(old) and not origins.may_begin(new)
+        fleet.store("v1", "v2")
+        assert origins.may_begin(new)
+        fleet.store("v1")
+        fleet.clock.step(stream_origins.MAX_UNSTORED_MS)
+        assert origins.may_begin(new)
+
     def test_unchanged_versions_are_not_stored_again(self) -> None:
         """Each period would cost a call to the store."""
         fleet = Fleet(1, "v1")
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -554,11 +554,14 @@
         """Return the URL of a path at a gateway."""
         return f"http://{self.gateways[number].settings.callers}{path}"
 
-    async def start_gateway(self) -> gateway_module.Gateway:
+    async def start_gateway(
+        self, is_first_start: bool = True
+    ) -> gateway_module.Gateway:
         """Start one more gateway."""
+        settings = make_settings(len(self.gateways), self.store)
         gateway = gateway_module.Gateway(
             self.open_platform(),
-            make_settings(len(self.gateways), self.store),
+            dataclasses.replace(settings, is_first_start=is_first_start),
         )
         # The start is moved back beyond the sliding windows, so that their
         # counts are complete.
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -52,6 +52,7 @@
   frontend_address: "10.1.0.25:8221"
   readiness: "10.1.0.25:8224"
 internal_port_range: [7600, 7615]
+bootstrap: true
 bounds: {grace_period_s: 8, lease_ms: 3000, budget_slack: 54}
 platform: {address: "10.200.1.7:8225"}
 not_known_here: 1
@@ -294,6 +295,7 @@
         assert str(result.callers) == "10.1.0.25:8221"
         assert (result.grace_ms, result.retry_slack) == (8_000, 54)
         assert (result.peers_port, result.metrics_port) == (7_600, 7_601)
+        assert result.is_first_start
 
     @pytest.mark.parametrize(
         ("line", "field"),
--- a/tests/wire/test_software_versions.py
+++ b/tests/wire/test_software_versions.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 import pytest
 
-from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -94,6 +93,67 @@
     ], is_whole
 
 
+async def wait_for_stored_versions(deployment: standins.Deployment) -> None:
+    """Wait until all gateways have read the stored versions."""
+    await standins.wait_until(
+        lambda: all(
+            gateway.exchange.origins.stored_versions_by_service is not None
+            for gateway in deployment.gateways
+        )
+    )
+
+
+async def read_pieces_until_break(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    attempt: str,
+) -> list[str]:
+    """Return the versions in a stream's events until it breaks off."""
+    for engine in deployment.replicas:
+        engine.behaviour = break_all_streams
+    versions, is_whole = await read_pieces(deployment, session, attempt)
+    assert not is_whole
+    return versions
+
+
+async def break_all_streams(
+    replica: standins.ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Send two events that name the replica's version, and reset."""
+    answer = await standins.begin_stream(request)
+    if "Last-Event-Id" not in request.headers:
+        for number in range(EVENTS_BEFORE_BREAK):
+            data = f"id: {number + 1}\ndata: {replica.software}\n\n"
+            await answer.write(data.encode())
+        await asyncio.sleep(0.02)
+    standins.reset(request)
+    return answer
+
+
+async def taken_up(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    attempt: str,
+) -> list[str]:
+    """Return the versions in the rest of a stream, none if it is refused."""
+    for engine in deployment.replicas:
+        engine.behaviour = break_new_streams
+    head = scenarios.headers(
+        f"{attempt}-again",
+        Resumes=attempt,
+        Last_Event_Id=str(EVENTS_BEFORE_BREAK),
+        **scenarios.model_headers("m1"),
+    )
+    async with session.post(deployment.url("/chat/a"), headers=head) as answer:
+        if answer.status == 503:
+            return []
+        assert answer.status == 200
+        lines = (await answer.read()).decode().splitlines()
+    return [
+        line.removeprefix("data: ") for line in lines if line[:4] == "data"
+    ]
+
+
 class TestOneAnswer:
     """Streams that the gateway itself resumes."""
 
@@ -213,21 +273,65 @@
         )
         run(scenario)
 
-    def test_stream_goes_on_after_a_restart_of_all_instances(self) -> None:
-        """Callers lost their streams although only one version served."""
+    def test_stream_is_not_joined_from_two_versions_after_a_kill_of_all(
+        self,
+    ) -> None:
+        """The version that began it was in no row, and its target had gone.
+
+        The holder of the lease wrote the row some time after the version had
+        come.
+        """
 
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             await serve_versions(deployment, "v1", "v1")
+            await wait_for_stored_versions(deployment)
+            other = deployment.replicas[1]
+            other.born_ms += 1
+            other.software = "v2"
+            deployment.register(other)
             await standins.wait_until(
-                lambda: any(
-                    key == gateway_module.SOFTWARE_KEY
-                    for _, key in deployment.store.row_by_name
+                lambda: (
+                    deployment.gateways[0]
+                    .state.targets.by_id[other.name]
+                    .target.software_version
+                    == "v2"
                 )
             )
+            begun = [
+                await read_pieces_until_break(deployment, session, f"a{n}")
+                for n in range(8)
+            ]
+            for gateway in deployment.gateways:
+                await gateway.close()
+            deployment.store.remove("servers", other.name)
+            deployment.gateways.clear()
+            restarted = await deployment.start_gateway(is_first_start=False)
+            await standins.wait_until(
+                lambda: (
+                    restarted.is_ready
+                    and restarted.exchange.origins.stored_versions_by_service
+                    is not None
+                )
+            )
+            for number, versions in enumerate(begun):
+                rest = await taken_up(deployment, session, f"a{number}")
+                assert len({*versions, *rest}) == 1
+
+        run = functools.partial(scenarios.run_scenario, plain=0, engines=2)
+        run(scenario)
+
+    def test_stream_goes_on_after_a_restart_of_all_instances(self) -> None:
+        """Callers lost their streams although only one version served."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v1")
+            await wait_for_stored_versions(deployment)
             await deployment.gateways[0].close()
-            restarted = await deployment.start_gateway()
+            restarted = await deployment.start_gateway(is_first_start=False)
             await standins.wait_until(
                 lambda: (
                     restarted.is_ready
