Read the stored versions where instances don't answer for an origin

Cause: without a report of a stream's origin its version is taken as known if only one was seen. An instance whose changes of the store come from a peer counts the store as reached while it hears nothing, so its own view decided; after 15 s of silence it asked nobody and didn't count as isolated; and one answer of a neighbour that is cut off too was enough.

Change: if an asked instance doesn't answer, or a member is silent, the stored versions are read, by a read that begins after the request came; requests share reads. Streams begin at a version only once it is stored, so this names each that may have begun one. If the store can't be read, half of the instances to be asked must answer.

Evidence: the wire test of three gateways fails before (a stream of v2 goes on at v1) and passes now, three times; the stepped cases fail before in 4 of 4 (alone or with a neighbour, 0 and 20 s of silence).

--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
@@ -72,6 +72,10 @@
         receive_relayed: typing.Callable[
             [ids.InstanceId, peers.StateUpdate], None
         ],
+        read_stored_versions: typing.Callable[
+            [],
+            typing.Awaitable[stream_origins.VersionsByService | None],
+        ],
     ) -> None:
         self._state = state
         self._clock = state.clock
@@ -131,7 +135,7 @@
             state.targets,
             self.link,
             self._base_update,
-            is_store_reached,
+            read_stored_versions,
             state.settings.is_first_start,
         )
         self.limits = target_limits.TargetLimits(
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -49,6 +49,7 @@
 USAGE_PERIOD_MS = 700
 SOFTWARE_KEY = "software"
 SOFTWARE_PERIOD_MS = 700
+SOFTWARE_READ_TIMEOUT_S = 0.5  # a caller waits for the rest of its stream
 SUSPECTS_KEY = "suspects"
 SUSPECTS_PERIOD_MS = 300
 REGISTER_RETRY_MS = 500
@@ -137,6 +138,7 @@
             self.delay_monitor,
             lambda: self.store_watch.is_reader(),
             lambda sender, update: self.store_watch.receive(sender, update),
+            self._read_stored_versions,
         )
         state.targets.on_software = self._report_software
         self.link = self.exchange.link
@@ -609,6 +611,26 @@
         self.exchange.origins.report_all(service)
         self._group.run_in_background(self._store_software())
 
+    async def _read_stored_versions(
+        self,
+    ) -> stream_origins.VersionsByService | None:
+        """Read the stored software versions, None if that fails."""
+        try:
+            async with asyncio.timeout(SOFTWARE_READ_TIMEOUT_S):
+                rows = await self._table.read_latest([SOFTWARE_KEY])
+            row = rows.get(SOFTWARE_KEY)
+            return (
+                {} if row is None else stream_origins.versions_of_row(row.body)
+            )
+        except (
+            tables.TableUnavailable,
+            TimeoutError,
+            ValueError,
+            TypeError,
+        ) as error:
+            LOG.warning("gateway: stored versions not read", error=repr(error))
+            return None
+
     async def _store_software(self) -> None:
         """Store the targets' software versions when they have changed."""
         if not self.placer.is_holder or not self.fleet.is_reached:
--- a/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
@@ -10,7 +10,9 @@
 a report the origin is still known if all targets of the last
 ``RETENTION_MS`` had one version; otherwise it is unknown.  So that this holds
 after a restart of all instances, the lease holder stores the versions, and
-streams begin at another version only once it is stored.
+streams begin at another version only once it is stored.  An instance that
+can't ask all of these instances reads the stored versions, as it may not have
+heard of the latest one.
 """
 
 import asyncio
@@ -28,6 +30,7 @@
 
 from cardamom_gateway import model
 from cardamom_gateway import peers
+from cardamom_gateway import shared_reads
 from cardamom_gateway import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.streams")
@@ -70,6 +73,14 @@
     versions: frozenset[str]
     is_complete: bool
 
+    def only_origin(self, service: model.ServiceId) -> Origin | None:
+        """Return the origin, or the only one possible, else None."""
+        if self.origin is not None:
+            return self.origin
+        if not self.is_complete or len(self.versions) != 1:
+            return None
+        return Origin(service, *self.versions)
+
 
 Answer = Knowledge | None
 Question = typing.Callable[
@@ -88,6 +99,8 @@
     """Reports and finds the origins of streams.
 
     ``base_update`` returns the fields that every message carries.
+    ``read_stored`` reads the stored versions; it returns None if the store
+    can't be read, and no version without the row.
     ``stored_versions_by_service`` are the versions of the last RETENTION_MS
     as a lease holder stored them, None before the row has been read, and
     ``is_stored`` whether the store still has that row.  ``is_first_start`` is
@@ -101,7 +114,9 @@
         targets: target_registry.TargetRegistry,
         link: peers.PeerLink,
         base_update: typing.Callable[[], peers.StateUpdate],
-        is_store_reached: typing.Callable[[], bool],
+        read_stored: typing.Callable[
+            [], typing.Awaitable[VersionsByService | None]
+        ],
         is_first_start: bool = False,
     ) -> None:
         self._is_first_start = is_first_start
@@ -110,7 +125,7 @@
         self._targets = targets
         self._link = link
         self._base_update = base_update
-        self._is_store_reached = is_store_reached
+        self._stored_now = shared_reads.SharedRead(read_stored)
         self._started_ms = clock.now_ms()
         self._record_by_attempt: dict[ids.AttemptId, _Record] = {}
         self.stored_versions_by_service: VersionsByService | None = None
@@ -210,31 +225,50 @@
         if own.origin is not None:
             return own.origin
         owners = self._owners(attempt, ASKED_OWNERS)
-        known = [
-            own,
-            *await _answers(
-                [ask(member, attempt, service) for member in owners]
-            ),
-        ]
-        versions = frozenset(
-            itertools.chain.from_iterable(k.versions for k in known)
+        answers = await _answers(
+            [ask(member, attempt, service) for member in owners]
         )
-        is_isolated = bool(owners) and len(known) == 1
-        origin = known[-1].origin
-        if origin is None and (self._is_store_reached() or not is_isolated):
-            origin = _only_possible_origin(service, versions, known)
+        merged = _merge([own, *answers])
+        if merged.origin is None and (
+            len(answers) < len(owners) or self._silent()
+        ):
+            merged = await self._confirm(merged, service, len(answers))
+        origin = merged.only_origin(service)
         LOG.info(
             "streams: origin",
             resumes=attempt,
             software=origin.software_version if origin else None,
-            versions=sorted(versions),
+            versions=sorted(merged.versions),
+            is_complete=merged.is_complete,
             asked=len(owners),
-            answers=len(known) - 1,
+            answers=len(answers),
         )
         if origin is not None:
             self._record(attempt, origin)
         return origin
 
+    async def _confirm(
+        self, known: Knowledge, service: model.ServiceId, answers: int
+    ) -> Knowledge:
+        """Return what is known with the versions that the store has now.
+
+        Without the store, the answers of most instances are needed.
+        """
+        stored = await self._stored_now.get()
+        if stored is None:
+            is_complete = known.is_complete and self._are_most(answers)
+            return dataclasses.replace(known, is_complete=is_complete)
+        return Knowledge(
+            None,
+            known.versions | stored.get(service, frozenset()),
+            is_complete=service in stored,
+        )
+
+    def _are_most(self, answers: int) -> bool:
+        """Return whether so many answers are half of those to be expected."""
+        expected = min(ASKED_OWNERS, len(self._link.member_by_id))
+        return 2 * answers >= expected
+
     def _is_settled(self) -> bool:
         """Return whether this instance has seen all recent versions."""
         return self._clock.now_ms() - self._started_ms >= RETENTION_MS
@@ -290,13 +324,7 @@
         self, attempt: ids.AttemptId, count: int
     ) -> list[peers.Member]:
         """Return the other instances among the owners of a stream."""
-        now_ms, peer_by_id = self._clock.now_ms(), self._link.peer_by_id
-        members = self._link.member_by_id
-        silent = {
-            member
-            for member, peer in peer_by_id.items()
-            if now_ms - peer.received_ms > MAX_OWNER_SILENCE_MS
-        }
+        members, silent = self._link.member_by_id, self._silent()
         owners = rendezvous.owners(
             attempt,
             [m for m in members if m not in silent] + [self._instance],
@@ -304,16 +332,24 @@
         )
         return [members[owner] for owner in owners if owner in members]
 
+    def _silent(self) -> set[ids.InstanceId]:
+        """Return the members that own nothing, as they aren't heard of."""
+        now_ms, peer_by_id = self._clock.now_ms(), self._link.peer_by_id
+        return {
+            member
+            for member in self._link.member_by_id
+            if member in peer_by_id
+            and now_ms - peer_by_id[member].received_ms > MAX_OWNER_SILENCE_MS
+        }
+
 
-def _only_possible_origin(
-    service: model.ServiceId,
-    versions: frozenset[str],
-    known: typing.Iterable[Knowledge],
-) -> Origin | None:
-    """Return the origin if all recent targets had one version, else None."""
-    if len(versions) != 1 or not any(k.is_complete for k in known):
-        return None
-    return Origin(service, *versions)
+def _merge(known: typing.Sequence[Knowledge]) -> Knowledge:
+    """Return what several instances know; the last one may have the origin."""
+    return Knowledge(
+        known[-1].origin,
+        frozenset(itertools.chain.from_iterable(k.versions for k in known)),
+        any(k.is_complete for k in known),
+    )
 
 
 async def _answers(
@@ -346,8 +382,15 @@
 
 
 def decode_versions(value: bytes) -> VersionsByService:
-    """Decode the row that stores the versions; raises ValueError."""
-    row = orjson.loads(value)
+    """Decode the row that stores the versions.
+
+    Raises ValueError or TypeError if it is malformed.
+    """
+    return versions_of_row(orjson.loads(value))
+
+
+def versions_of_row(row: typing.Any) -> VersionsByService:
+    """Return the versions in the fields of the row, as ``decode_versions``."""
     if not isinstance(row, dict):
         raise ValueError(f"stored versions: {row!r} is not an object")
     return {
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 import orjson
+import pytest
 
 from cardamom_gateway import model
 from cardamom_gateway import peers
@@ -31,6 +32,7 @@
         )
         self.clock = self.network.clock
         self.is_store_reached = True
+        self.stored_row: dict[model.ServiceId, frozenset[str]] = {}
         self.down: set[ids.InstanceId] = set()
         self.registries = [
             target_registry.TargetRegistry(
@@ -59,7 +61,7 @@
             registry,
             link,
             lambda: {"up": 0},
-            lambda: self.is_store_reached,
+            self._read_stored,
             is_first_start,
         )
         registry.on_software = origins.report_all
@@ -98,8 +100,12 @@
 
     def store(self, *versions: str) -> None:
         """Let all instances read these versions from the store."""
+        self.stored_row = {SERVICE: frozenset(versions)}
         for origins in self.origins:
-            origins.stored_versions_by_service = {SERVICE: frozenset(versions)}
+            origins.stored_versions_by_service = self.stored_row
+
+    async def _read_stored(self) -> stream_origins.VersionsByService | None:
+        return self.stored_row if self.is_store_reached else None
 
     async def _ask(
         self,
@@ -206,12 +212,47 @@
     ) -> None:
         """An instance that is cut off could miss a new version."""
         fleet = Fleet(9, "v1")
+        fleet.store("v1")
         fleet.settle()
         fleet.down = {link._settings.instance for link in fleet.network.links}
         assert fleet.find(3) == V1
         fleet.is_store_reached = False
         assert fleet.find(4) is None
 
+    @pytest.mark.parametrize("reached", [0, 1])
+    @pytest.mark.parametrize("silent_ms", [0, 20_000])
+    def test_instance_out_of_step_does_not_miss_a_new_version(
+        self, silent_ms: int, reached: int
+    ) -> None:
+        """A stream of the new version went on at the former one.
+
+        The instance hears of no target while it is cut off from its reader,
+        alone or together with a neighbour, or stands still.
+        """
+        fleet = Fleet(9, "v1")
+        fleet.store("v1")
+        fleet.settle()
+        fleet.clock.step(silent_ms)
+        fleet.stored_row = {SERVICE: frozenset({"v1", "v2"})}
+        fleet.down = {
+            link._settings.instance
+            for link in fleet.network.links[: 8 - reached]
+        }
+        assert fleet.find(8) is None
+        fleet.is_store_reached = False
+        assert fleet.find(8) is None
+
+    def test_lost_instance_does_not_make_origins_unknown_in_an_outage(
+        self,
+    ) -> None:
+        """Streams would not go on, although most instances agree."""
+        fleet = Fleet(9, "v1")
+        fleet.store("v1")
+        fleet.settle()
+        fleet.is_store_reached = False
+        fleet.down = {fleet.network.links[0]._settings.instance}
+        assert fleet.find(3) == V1
+
 
 class TestStoredVersions:
     """The versions that outlast a restart of all instances."""
--- a/tests/wire/test_software_versions.py
+++ b/tests/wire/test_software_versions.py
@@ -1,17 +1,22 @@
 """Tests of streams while replicas of two software versions serve."""
 
 import asyncio
+import contextlib
 import functools
+import typing
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 import pytest
 
+from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
 from tests.wire import standins
 
 EVENTS = 5
 EVENTS_BEFORE_BREAK = 2
+STREAMS = 8
 
 
 async def break_new_streams(
@@ -93,27 +98,27 @@
     ], is_whole
 
 
-async def wait_for_stored_versions(deployment: standins.Deployment) -> None:
-    """Wait until all gateways have read the stored versions."""
+async def wait_for_stored_versions(
+    deployment: standins.Deployment, versions: set[str]
+) -> None:
+    """Wait until the first gateway has read these stored versions."""
+    origins = deployment.gateways[0].exchange.origins
     await standins.wait_until(
-        lambda: all(
-            gateway.exchange.origins.stored_versions_by_service is not None
-            for gateway in deployment.gateways
-        )
+        lambda: versions in (origins.stored_versions_by_service or {}).values()
     )
 
 
-async def read_pieces_until_break(
-    deployment: standins.Deployment,
-    session: aiohttp.ClientSession,
-    attempt: str,
-) -> list[str]:
-    """Return the versions in a stream's events until it breaks off."""
+async def begin_streams(
+    deployment: standins.Deployment, session: aiohttp.ClientSession
+) -> list[list[str]]:
+    """Begin streams that break off; return the versions in their events."""
     for engine in deployment.replicas:
         engine.behaviour = break_all_streams
-    versions, is_whole = await read_pieces(deployment, session, attempt)
-    assert not is_whole
-    return versions
+    read = await asyncio.gather(
+        *(read_pieces(deployment, session, f"a{n}") for n in range(STREAMS))
+    )
+    assert not any(is_whole for _, is_whole in read)
+    return [versions for versions, _ in read]
 
 
 async def break_all_streams(
@@ -130,10 +135,39 @@
     return answer
 
 
+async def replace_by_version(
+    deployment: standins.Deployment, version: str
+) -> None:
+    """Restart the second engine with another version, and wait until known.
+
+    The last gateway needn't know it.
+    """
+    engine = deployment.replicas[1]
+    engine.born_ms += 1
+    engine.software = version
+    deployment.register(engine)
+    first = deployment.gateways[0].state.targets
+    await standins.wait_until(
+        lambda: first.by_id[engine.name].target.software_version == version
+    )
+
+
+@contextlib.contextmanager
+def cut_from_peers(gateway: gateway_module.Gateway) -> typing.Iterator[None]:
+    """Let a gateway neither hear its peers nor reach them."""
+    with (
+        mock.patch.object(gateway.link, "datagram_received"),
+        mock.patch.object(gateway.link, "send"),
+        mock.patch.object(gateway.peer_calls, "_call", return_value=None),
+    ):
+        yield
+
+
 async def taken_up(
     deployment: standins.Deployment,
     session: aiohttp.ClientSession,
     attempt: str,
+    gateway: int = 0,
 ) -> list[str]:
     """Return the versions in the rest of a stream, none if it is refused."""
     for engine in deployment.replicas:
@@ -144,7 +178,9 @@
         Last_Event_Id=str(EVENTS_BEFORE_BREAK),
         **scenarios.model_headers("m1"),
     )
-    async with session.post(deployment.url("/chat/a"), headers=head) as answer:
+    async with session.post(
+        deployment.url("/chat/a", gateway), headers=head
+    ) as answer:
         if answer.status == 503:
             return []
         assert answer.status == 200
@@ -273,6 +309,42 @@
         )
         run(scenario)
 
+    def test_instance_out_of_step_does_not_join_two_versions(self) -> None:
+        """It was cut off from its peers while the new version came."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await serve_versions(deployment, "v1", "v1")
+            await wait_for_stored_versions(deployment, {"v1"})
+            await standins.wait_until(
+                lambda: any(g.placer.is_holder for g in deployment.gateways)
+            )
+            cut_off = next(
+                gateway
+                for gateway in deployment.gateways
+                if not gateway.targets.reads_store()
+            )
+            deployment.gateways.remove(cut_off)
+            deployment.gateways.append(cut_off)
+            with cut_from_peers(cut_off):
+                await replace_by_version(deployment, "v2")
+                await wait_for_stored_versions(deployment, {"v1", "v2"})
+                begun = await begin_streams(deployment, session)
+                assert {"v2"} in map(set, begun)
+                targets = cut_off.state.targets.by_id.values()
+                assert {r.target.software_version for r in targets} == {"v1"}
+                for number, versions in enumerate(begun):
+                    rest = await taken_up(
+                        deployment, session, f"a{number}", gateway=2
+                    )
+                    assert len({*versions, *rest}) == 1
+
+        run = functools.partial(
+            scenarios.run_scenario, plain=0, engines=2, gateways=3
+        )
+        run(scenario)
+
     def test_stream_is_not_joined_from_two_versions_after_a_kill_of_all(
         self,
     ) -> None:
@@ -286,23 +358,10 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             await serve_versions(deployment, "v1", "v1")
-            await wait_for_stored_versions(deployment)
+            await wait_for_stored_versions(deployment, {"v1"})
             other = deployment.replicas[1]
-            other.born_ms += 1
-            other.software = "v2"
-            deployment.register(other)
-            await standins.wait_until(
-                lambda: (
-                    deployment.gateways[0]
-                    .state.targets.by_id[other.name]
-                    .target.software_version
-                    == "v2"
-                )
-            )
-            begun = [
-                await read_pieces_until_break(deployment, session, f"a{n}")
-                for n in range(8)
-            ]
+            await replace_by_version(deployment, "v2")
+            begun = await begin_streams(deployment, session)
             for gateway in deployment.gateways:
                 await gateway.close()
             deployment.store.remove("servers", other.name)
@@ -329,7 +388,7 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             await serve_versions(deployment, "v1", "v1")
-            await wait_for_stored_versions(deployment)
+            await wait_for_stored_versions(deployment, {"v1"})
             await deployment.gateways[0].close()
             restarted = await deployment.start_gateway(is_first_start=False)
             await standins.wait_until(
