--- a/packages/cardamom-gateway/src/cardamom_gateway/fields.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fields.py
@@ -1,11 +1,13 @@
 """Typed access to JSON objects; every error names the field.
 
 A field that is null counts as absent. An absent field without a default is
-an error.
+an error. So is a number beyond MAX_NUMBER. Errors show values shortened, as
+deeply nested ones can't be printed.
 """
 
 import base64
 import binascii
+import reprlib
 import typing
 
 import orjson
@@ -15,6 +17,9 @@
 Json = typing.Mapping[str, typing.Any]
 
 REQUIRED: typing.Any = object()
+# JSON numbers beyond it are not exact, and integers beyond 64 bits can't be
+# encoded again.
+MAX_NUMBER = 1 << 53
 
 
 def parse(data: bytes | str, description: str) -> Json:
@@ -40,12 +45,12 @@
 
 def number(data: Json, name: str, default: typing.Any = REQUIRED) -> float:
     """Return a number field; raises MalformedMessage."""
-    return float(_field(data, name, (int, float), default))
+    return float(_number(data, name, default))
 
 
 def integer(data: Json, name: str, default: typing.Any = REQUIRED) -> int:
     """Return a number field, truncated; raises MalformedMessage."""
-    return int(_field(data, name, (int, float), default))
+    return int(_number(data, name, default))
 
 
 def boolean(data: Json, name: str, default: typing.Any = REQUIRED) -> bool:
@@ -92,6 +97,15 @@
         raise interfaces.MalformedMessage(f"value: {error}") from error
 
 
+def _number(data: Json, name: str, default: typing.Any) -> int | float:
+    value: int | float = _field(data, name, (int, float), default)
+    if abs(value) > MAX_NUMBER:
+        raise interfaces.MalformedMessage(
+            f"{name}: {value:g} is too large a number"
+        )
+    return value
+
+
 def _field(
     data: Json,
     name: str,
@@ -106,6 +120,6 @@
     is_unexpected_boolean = isinstance(value, bool) and bool not in types
     if not isinstance(value, types) or is_unexpected_boolean:
         raise interfaces.MalformedMessage(
-            f"{name}: {value!r} is not {types[-1].__name__}"
+            f"{name}: {reprlib.repr(value)} is not {types[-1].__name__}"
         )
     return value
--- a/packages/cardamom-gateway/src/cardamom_gateway/member_rows.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/member_rows.py
@@ -9,6 +9,7 @@
 
 from cardamom_gateway import interfaces
 from cardamom_gateway import peers
+from cardamom_gateway import settings
 
 PREFIX = "instance/"
 
@@ -26,8 +27,8 @@
 def decode(name: str, value: bytes) -> peers.Member:
     """Return the instance of a row.
 
-    Raises MalformedMessage for one that is cut, or lacks a field of the right
-    type.
+    Raises MalformedMessage for one that is cut, lacks a field of the right
+    type, or has an address that no datagram reaches.
     """
     try:
         row = orjson.loads(value)
@@ -36,6 +37,7 @@
         incarnation = _text(row, "incarnation")
         if type(port) is not int:
             raise TypeError("port is no number")
+        settings.checked_address(host, port)
     except (ValueError, TypeError, KeyError) as error:
         raise interfaces.MalformedMessage(
             f"row of instance {name!r}: {error}"
--- a/packages/cardamom-gateway/src/cardamom_gateway/settings.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/settings.py
@@ -1,11 +1,15 @@
 """The gateway's settings, all checked before the gateway starts."""
 
 import dataclasses
+import ipaddress
 import typing
 
 from cardamom_kernel import ids
 
 
+MAX_PORT = 65_535
+
+
 class SettingsError(ValueError):
     """Raised for settings that cannot be used; names file and field."""
 
@@ -22,6 +26,25 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_address(value: str) -> Address:
+    """Return the address in a text of the form IPv4:PORT.
+
+    Raises ValueError for one that no connection can use.
+    """
+    host, _, port = value.rpartition(":")
+    if not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{value!r}: is not HOST:PORT")
+    return checked_address(host, int(port))
+
+
+def checked_address(host: str, port: int) -> Address:
+    """Return an address; raises ValueError if no connection can use it."""
+    ipaddress.IPv4Address(host)
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"port {port} is not between 1 and {MAX_PORT}")
+    return Address(host, port)
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewaySettings:
     """Settings that a gateway reads at its start.
@@ -71,6 +94,10 @@
             yield f"{field}: {getattr(settings, field)} must be 0 or above"
     if not settings.instance:
         yield "instance: is empty; set a unique name for this process"
+    try:
+        ipaddress.IPv4Address(settings.peers_host)
+    except ValueError as error:
+        yield f"peers_host: {error}"
     ports = (settings.peers_port, settings.metrics_port)
-    if not all(1 <= port <= 65_535 for port in ports):
-        yield f"ports: {ports} must be between 1 and 65535"
+    if not all(1 <= port <= MAX_PORT for port in ports):
+        yield f"ports: {ports} must be between 1 and {MAX_PORT}"
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -303,6 +303,7 @@
             ("node_name: [", "line"),
             ("internal_port_range: [7600]", "internal_port_range"),
             ("node_name: 4", "node_name"),
+            ("ip_address: host.example", "peers_host"),
             ("bounds: {lease_ms: 0}", "lease_ms"),
         ],
     )
--- a/tests/wire/test_store_outages.py
+++ b/tests/wire/test_store_outages.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import orjson
 import pytest
 
 from cardamom_gateway import gateway as gateway_module
@@ -250,21 +251,43 @@
 class TestMalformedEntry:
     """An entry that another writer has got wrong."""
 
-    def test_changes_beside_it_are_applied(self) -> None:
-        """A leaving in the same answer would be lost."""
+    @pytest.mark.parametrize(
+        ("field", "raw"),
+        [
+            ("models", b'[{"name":"m1","adapters":4}]'),
+            ("service", b"[" * 1_000 + b"]" * 1_000),
+            ("sequence", b"1e300"),
+            ("address", b'"127.0.0.1:65536"'),
+            ("address", b'"[::1:80"'),
+        ],
+    )
+    def test_changes_beside_it_are_applied(
+        self, field: str, raw: bytes
+    ) -> None:
+        """A leaving in the same answer would be lost.
+
+        Requests to the other targets are served.
+        """
 
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             store, leaving = deployment.store, deployment.replicas[0]
             entry = deployment.replicas[1].entry()
-            entry["models"] = [{"name": "m1", "adapters": 4}]
+            entry[field] = "odd"
+            odd = orjson.dumps(entry).replace(b'"odd"', raw)
             leaving.state = "draining"
-            store.put("servers", "unknown", entry)
+            store.put("servers", "unknown", odd)
             deployment.register(leaving)
             await standins.wait_until(
                 lambda: usable(deployment.gateways[0]) == {"p1"},
                 timeout_s=IN_FORCE_S,
             )
+            for number in range(4):
+                async with session.get(
+                    deployment.url("/read/a"),
+                    headers=scenarios.headers(f"a{number}"),
+                ) as answer:
+                    assert answer.status == 200
 
         scenarios.run_scenario(scenario, plain=2, engines=0)
