Heed targets that say in their answers that they leave

Cause: the header Server-Leaving wasn't read, so a target whose entry is silent went on getting its share from every instance until it ended.

Change: the head of each answer counts, also of rejections, streams, answers that break off, reports of engines, and answers that are relayed for a peer. The target gets no new requests until it starts again; an entry that calls it ready counts again 30 s after the last such answer, since entries are also written for other reasons while a target leaves. Peers hear of it by the reports of leaving targets, with the store up or down.

--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -134,13 +134,22 @@
             raise AttemptFailed(
                 FailureKind.NOT_CONNECTED, f"not reached by {relay_address}"
             )
-        answer = self._codec.decode_answer(response.headers)
-        self._on_answer(record, answer)
+        answer = self.note_head(record, response)
         if answer.keep_alive_ms is not None:
             self._note_keep_alive(answer.keep_alive_ms)
         self._check_answer(response, answer, outgoing)
         return response
 
+    def note_head(
+        self,
+        record: target_registry.TargetRecord,
+        response: aiohttp.ClientResponse,
+    ) -> model.AnswerHead:
+        """Decode the head of a target's answer, and record what it says."""
+        answer = self._codec.decode_answer(response.headers)
+        self._on_answer(record, answer)
+        return answer
+
     async def open(
         self, address: str, outgoing: OutgoingRequest
     ) -> aiohttp.ClientResponse:
--- a/packages/cardamom-gateway/src/cardamom_gateway/engine_orders.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engine_orders.py
@@ -170,6 +170,8 @@
             ):
                 return
             report = await self._engines.report(current.target)
+            if report is not None and report.is_leaving:
+                self._state.targets.note_stated_leaving(current)
             if (
                 report is not None
                 and not report.is_busy
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -39,6 +39,7 @@
 from cardamom_gateway import store_watch
 from cardamom_gateway import stored_suspects
 from cardamom_gateway import stream_origins
+from cardamom_gateway import target_registry
 from cardamom_gateway import target_watch
 from cardamom_gateway import usage
 
@@ -181,7 +182,7 @@
             lambda: self.fleet.is_reached,
         )
         self.target_client = attempts.TargetClient(
-            state.codec, self.exchange.limits.note_answer
+            state.codec, self._note_answer
         )
         self.reachability = reachability.Reachability(
             state,
@@ -707,6 +708,14 @@
                 LOG.info("gateway: member dropped", member=member)
                 await self._table.commit({}, {}, [member_rows.PREFIX + member])
 
+    def _note_answer(
+        self, record: target_registry.TargetRecord, answer: model.AnswerHead
+    ) -> None:
+        """Record what the head of a target's answer says of the target."""
+        self.exchange.limits.note_answer(record, answer)
+        if answer.is_leaving:
+            self.state.targets.note_stated_leaving(record)
+
     # Exchange with peers.
 
     async def _find_origin(
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -215,7 +215,8 @@
 class EngineReport:
     """An engine's report of its state, which may be some 100 ms old.
 
-    ``accepted_orders`` is the number of orders that the engine has accepted.
+    ``accepted_orders`` is the number of orders that the engine has accepted;
+    ``is_leaving`` is whether it says that it leaves.
     """
 
     accepted_orders: int
@@ -227,6 +228,7 @@
     started_ms: int
     running: int
     waiting: int
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -269,7 +271,7 @@
     all instances together, None if it states no limit.  A target that fails
     if it rejects more requests a second than ``tolerated_rejections`` states
     that number.  ``malformed_limit`` is the value of either that can't be
-    used.
+    used.  ``is_leaving`` is whether the target says that it leaves.
     """
 
     attempt: str
@@ -279,3 +281,4 @@
     rate_limit_per_s: float | None = None
     tolerated_rejections: int | None = None
     malformed_limit: str | None = None
+    is_leaving: bool = False
--- a/packages/cardamom-gateway/src/cardamom_gateway/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/relaying.py
@@ -62,6 +62,7 @@
                 record.record_connect_failure(self._state.clock.now_ms())
                 return _not_connected(failure.reason)
             return _abort(request, record, failure.reason)
+        self._client.note_head(record, response)
         async with response:
             try:
                 return await self._pass_back(request, response)
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -22,6 +22,9 @@
 RETURN_GRACE_MS = 1_900  # entries that expired in an outage return in it
 MAX_HOLDINGS_AGE_MS = 5_000  # older holdings from the lease holder are ignored
 MAX_PEER_LOAD_AGE_MS = 1_500  # a peer's older load is not counted
+# An entry that calls a target ready counts again so long after an answer in
+# which the target said that it leaves; most have ended by then.
+STATED_LEAVING_MS = 30_000
 # Streams that a former software version began may still be resumed.
 SOFTWARE_RETENTION_MS = 60_000
 # Copies from which the store comes back are far younger.
@@ -90,6 +93,7 @@
     ``failure_ratio`` is a moving average from 0 to 1.  ``expired_ms`` is set
     while the entry is missing after an outage of the store, and
     ``leaving_at_write`` while a peer has reported that the target is leaving.
+    ``stated_leaving_ms`` is when the target last said so in an answer.
     ``limit`` is set once the target has stated one.  ``is_relayed`` is whether
     only peers reach it, so that requests go through them; ``next_retry_ms`` is
     then when to connect from here again.  ``unreached_since_ms`` is when the
@@ -113,6 +117,7 @@
         self.unreached_since_ms: int = clocks.FOREVER_MS
         self.expired_ms: int | None = None
         self.leaving_at_write: int | None = None
+        self.stated_leaving_ms: int | None = None
         self.attempts: set[typing.Any] = set()
         self.limit: StatedLimit | None = None
         self.malformed_limit = ""
@@ -124,6 +129,7 @@
         return (
             self.target.state is model.TargetState.READY
             and self.leaving_at_write is None
+            and self.stated_leaving_ms is None
         )
 
     @property
@@ -299,6 +305,8 @@
             and target.entry_sequence > record.leaving_at_write
         ):
             record.leaving_at_write = None
+        if self._serves_again(record, target):
+            record.stated_leaving_ms = None
         if target.state is not record.target.state:
             LOG.info(
                 "targets: state",
@@ -315,6 +323,32 @@
             self.on_software(target.service)
         self.notify()
 
+    def _serves_again(
+        self, record: TargetRecord, target: model.Target
+    ) -> bool:
+        """Return whether an entry overrides that a target said it leaves."""
+        return (
+            record.stated_leaving_ms is not None
+            and target.state is model.TargetState.READY
+            and target.entry_sequence > record.target.entry_sequence
+            and self._clock.now_ms() - record.stated_leaving_ms
+            >= STATED_LEAVING_MS
+        )
+
+    def note_stated_leaving(self, record: TargetRecord) -> None:
+        """Record that a target has said in an answer that it leaves.
+
+        It gets no new requests then until it starts again, whatever its entry
+        says, and peers are told.
+        """
+        was_in_use = self.is_in_use(record)
+        record.stated_leaving_ms = self._clock.now_ms()
+        if not was_in_use:
+            return
+        LOG.info("targets: leaving, by its answer", target=record.target.id)
+        self.on_leaving(record.target)
+        self.notify()
+
     def remove(self, target_id: ids.TargetId, reachable_since_ms: int) -> None:
         """Remove a target, or mark it as expired.
 
@@ -360,8 +394,10 @@
 
         Another start of it may have taken its place.
         """
-        return self.by_id.get(record.target.id) is not record and (
-            record.target.state is model.TargetState.READY
+        return (
+            self.by_id.get(record.target.id) is not record
+            and record.target.state is model.TargetState.READY
+            and record.stated_leaving_ms is None
         )
 
     def remove_absent(
