Heed the time for which a rejecting target wants no requests

Cause: Retry-After on a target's 503 wasn't read, so it went on getting its share of requests and of their retries, and callers weren't told when one of the targets returns.

Change: for the time that it states (a minute at most) this instance sends the target nothing, not for peers either; then one request first, and the others once that is answered. Instances return at different moments. If all targets of a service pause, requests are refused as not run with the earliest return, spread over the callers. Dates and other values state no time.

--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -194,7 +194,7 @@
             )
             if permit is None:
                 continue
-            if self._state.targets.is_in_use(record):
+            if self._state.targets.accepts(record):
                 return record, choice, permit
             self._permits.finish(permit, was_rejected=False)
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -715,6 +715,10 @@
         self.exchange.limits.note_answer(record, answer)
         if answer.is_leaving:
             self.state.targets.note_stated_leaving(record)
+        if answer.retry_after_ms:
+            self.state.targets.pause(record, answer.retry_after_ms)
+        else:
+            record.pause.note_answer(self.clock.now_ms())
 
     # Exchange with peers.
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -272,6 +272,8 @@
     if it rejects more requests a second than ``tolerated_rejections`` states
     that number.  ``malformed_limit`` is the value of either that can't be
     used.  ``is_leaving`` is whether the target says that it leaves.
+    A target that rejects a request may state with ``retry_after_ms`` for how
+    long it wants no others from this instance.
     """
 
     attempt: str
@@ -282,3 +284,4 @@
     tolerated_rejections: int | None = None
     malformed_limit: str | None = None
     is_leaving: bool = False
+    retry_after_ms: int | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/relaying.py
@@ -80,7 +80,7 @@
         if (
             record is None
             or str(record.target.started_ms) != started_ms
-            or not record.is_usable
+            or not targets.accepts(record)
         ):
             return None
         return record
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
@@ -26,19 +26,20 @@
 
 
 class NoPermit(outcomes.RequestRefused):
-    """Raised for a request whose targets are all at their limits.
+    """Raised for a request whose targets are all at their limits or pause.
 
-    There may be a permit after ``wait_ms``.
+    One of them may take it after ``wait_ms``.
     """
 
     def __init__(self, targets: int, wait_ms: int) -> None:
         super().__init__(
             outcomes.Refusal(
                 outcomes.Code.OVERLOADED,
-                f"{targets} targets, each at the limit that it states",
+                f"{targets} targets, each at the limit that it states or "
+                "pausing",
                 outcomes.Step.QUEUE,
                 not_run=True,
-                retry_after_ms=max(refusals.MIN_RETRY_AFTER_MS, wait_ms),
+                retry_after_ms=refusals.spread_retry_after_ms(wait_ms),
             )
         )
         self.wait_ms = wait_ms
@@ -109,8 +110,8 @@
             ) and await self._load_adapter(
                 record.target, spec.name, call.head.adapter
             )
-            if not self._state.targets.is_in_use(record):
-                continue  # the target began to leave during the load
+            if not self._state.targets.accepts(record):
+                continue  # the target began to leave or pause meanwhile
             if is_loaded:
                 return record, choice
             without_adapter.add(record.target.id)
@@ -312,10 +313,10 @@
     def _refuse_without_permit(
         self, call: admission.Call, records: list[target_registry.TargetRecord]
     ) -> None:
-        """Raise NoPermit if targets are left, but none has a permit."""
+        """Raise NoPermit if targets are left, but none takes requests."""
         now_ms = self._state.clock.now_ms()
         waits_ms = [
-            record.permit_wait_ms(call.is_urgent, now_ms)
+            record.wait_ms(call.is_urgent, now_ms)
             for record in records
             if record.target.id not in call.tried_targets
         ]
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -13,6 +13,7 @@
 
 from cardamom_gateway import holdings as holdings_module
 from cardamom_gateway import model
+from cardamom_gateway import pauses
 
 LOG = structlog.get_logger("cardamom.gateway.targets")
 
@@ -121,6 +122,7 @@
         self.attempts: set[typing.Any] = set()
         self.limit: StatedLimit | None = None
         self.malformed_limit = ""
+        self.pause = pauses.Pause()
         self._no_permit_until_ms: dict[bool, int] = {}
 
     @property
@@ -148,6 +150,15 @@
         until_ms = self._no_permit_until_ms.get(is_urgent, now_ms)
         return max(0, until_ms - now_ms)
 
+    def wait_ms(self, is_urgent: bool, now_ms: int) -> int:
+        """Return the ms until the target may take a request."""
+        return max(
+            self.permit_wait_ms(is_urgent, now_ms),
+            self.pause.wait_ms(
+                now_ms, (attempt.started_ms for attempt in self.attempts)
+            ),
+        )
+
     def residents(self, now_ms: int) -> frozenset[model.ModelAndAdapter]:
         """Return the resident models and adapters.
 
@@ -525,6 +536,22 @@
         """Return whether a record is current and may get new requests."""
         return self.by_id.get(record.target.id) is record and record.is_usable
 
+    def accepts(self, record: TargetRecord) -> bool:
+        """Return whether a record is in use, and has stated no pause."""
+        starts_ms = (attempt.started_ms for attempt in record.attempts)
+        return self.is_in_use(record) and not record.pause.wait_ms(
+            self._clock.now_ms(), starts_ms
+        )
+
+    def pause(self, record: TargetRecord, stated_ms: int) -> None:
+        """Record for how long a target wants no requests from here."""
+        if record.pause.begin(self._clock.now_ms(), stated_ms):
+            LOG.info(
+                "targets: pause stated",
+                target=record.target.id,
+                stated_ms=stated_ms,
+            )
+
     def mark_leaving(
         self, target_id: ids.TargetId, started_ms: int, entry_sequence: int
     ) -> None:
@@ -584,15 +611,14 @@
     ) -> list[dispatching.Candidate]:
         """Return the candidates for a request.
 
-        Paused targets are returned only if there is no other, and targets
-        without a permit not at all.
+        Suspect targets are returned only if there is no other, and targets
+        without a permit, or that have stated a pause, not at all.
         """
         now_ms = self._clock.now_ms()
         usable = [
             r
             for r in records
-            if r.target.id not in exclude
-            and not r.permit_wait_ms(is_urgent, now_ms)
+            if r.target.id not in exclude and not r.wait_ms(is_urgent, now_ms)
         ]
         trusted = [
             r for r in usable if r.is_relayed or r.suspect_until_ms <= now_ms
--- a/tests/wire/test_stated_leaving.py
+++ b/tests/wire/test_stated_leaving.py
@@ -179,14 +179,24 @@
             leaving.behaviour = leave_and_answer
             await send_for(deployment, session, "/read/a", HEARD_S, "a")
             deployment.register(leaving)  # a later entry of the same start
-            await asyncio.sleep(0.1)
+            targets = deployment.gateways[0].state.targets.by_id
+            await standins.wait_until(
+                lambda: (
+                    targets[leaving.name].target.entry_sequence
+                    == leaving.entry_sequence
+                )
+            )
             before = len(leaving.requests)
             await send_for(deployment, session, "/read/a", HEARD_S, "b")
             assert len(leaving.requests) == before
             leaving.behaviour = standins.answer_at_once
             leaving.born_ms += 1
             deployment.register(leaving)
-            await asyncio.sleep(0.1)
+            await standins.wait_until(
+                lambda: (
+                    targets[leaving.name].target.started_ms == leaving.born_ms
+                )
+            )
             await send_for(deployment, session, "/read/a", HEARD_S, "c")
             assert len(leaving.requests) > before
 
