Pass encoded request bodies on as they were sent

Cause: aiohttp's servers decode bodies by default, those for callers and those for peers alike.

Change: the gateway's servers don't. The stand-ins' servers don't either, so that they see what was sent.

--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -364,6 +364,7 @@
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=CALLER_KEEPALIVE_S,
+            auto_decompress=False,
             max_line_size=1 << 16,
             max_field_size=1 << 16,
         )
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -50,7 +50,10 @@
     async def start(self) -> None:
         """Listen on ``port``, or on a free port if it is 0."""
         server = web.Server(
-            self.handle, handler_cancellation=True, access_log=None
+            self.handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
         )
         self._runner = web.ServerRunner(server, shutdown_timeout=0.05)
         await self._runner.setup()
