Store the refused requests beside the refused prompt parts

Cause: the holder of the lease stored refused parts of prompts for that case, but not refused requests.

--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -114,7 +114,7 @@
             platform.settings_modification_time_s()
         )
         self._has_stored_usage = True  # a previous holder may have stored some
-        self._stored_suspects: dict[str, tuple[str, ...]] = {}
+        self._stored_suspects = stored_suspects.NONE
         self.state = state_module.GatewayState(
             settings, self.clock, platform.codec
         )
@@ -517,7 +517,7 @@
                 for name, member in self._row_by_member.items()
                 if member_rows.PREFIX + name in read
             }
-            self._stored_suspects = {}
+            self._stored_suspects = stored_suspects.NONE
             self.exchange.origins.is_stored = any(
                 change.key == SOFTWARE_KEY for change in changes.changes
             )
@@ -582,12 +582,12 @@
         self.exchange.origins.is_stored = True
 
     def _apply_stored_suspects(self, value: bytes | None) -> None:
-        """Apply the refused prompt parts that a holder of the lease stored."""
+        """Apply what is refused, as a holder of the lease stored it."""
         if value is None:
-            self._stored_suspects = {}
+            self._stored_suspects = stored_suspects.NONE
             return
         try:
-            reports = stored_suspects.decode(
+            requests, parts = stored_suspects.decode(
                 value, self.fleet.store_clock_ms()
             )
         except stored_suspects.MalformedSuspects as error:
@@ -595,15 +595,19 @@
                 "gateway: stored suspects not usable", error=str(error)
             )
             return
-        self._stored_suspects = stored_suspects.select(reports)
-        self.state.part_suspicions.merge(reports)
+        self._stored_suspects = stored_suspects.select(requests, parts)
+        self.state.suspicions.merge(requests)
+        self.state.part_suspicions.merge(parts)
 
     async def _store_suspects(self) -> None:
-        """Store the refused prompt parts when they have changed."""
+        """Store the refused requests and parts when they have changed."""
         store_clock_ms = self.fleet.store_clock_ms()
         if not self.placer.is_holder or store_clock_ms is None:
             return
-        suspects = stored_suspects.select(self.state.part_suspicions.refused())
+        suspects = stored_suspects.select(
+            self.state.suspicions.refused(),
+            self.state.part_suspicions.refused(),
+        )
         if suspects != self._stored_suspects:
             row = stored_suspects.encode(suspects, store_clock_ms)
             await self._table.commit({}, {SUSPECTS_KEY: row})
--- a/packages/cardamom-kernel/src/cardamom_kernel/suspicion.py
+++ b/packages/cardamom-kernel/src/cardamom_kernel/suspicion.py
@@ -160,8 +160,9 @@
         """Return the reports of all refused suspects."""
         return [
             report
-            for report in self.export(len(self._by_fingerprint))
-            if len(report.losses) >= self.crashes_to_refuse
+            for fingerprint in list(self._by_fingerprint)
+            if self.is_refused(fingerprint)
+            and (report := self.report(fingerprint)) is not None
         ]
 
     def merge(self, reports: typing.Iterable[SuspectReport]) -> None:
--- a/tests/wire/test_suspects.py
+++ b/tests/wire/test_suspects.py
@@ -62,16 +62,7 @@
             lost = deployment.gateways.pop()
             await lost.close()
             await asyncio.sleep(silence_s)
-            for number in range(CRASHES_TO_REFUSE):
-                for replica in deployment.replicas:
-                    replica.behaviour = crash
-                async with session.post(
-                    deployment.url("/write/a"),
-                    data=b"poison",
-                    headers=scenarios.headers(f"a{number}"),
-                ) as answer:
-                    assert answer.status == 502
-                await wait_for_crashes(deployment, number + 1)
+            await crash_until_refused(deployment, session)
             crashed = sum(len(r.requests) for r in deployment.replicas)
             async with session.post(
                 deployment.url("/write/a"),
@@ -84,6 +75,58 @@
         scenarios.run_scenario(scenario, plain=plain, engines=0, gateways=2)
 
 
+class TestKillOfAll:
+    """What the instances of after a kill of all know of crashes."""
+
+    def test_request_that_crashes_targets_is_still_refused(self) -> None:
+        """Each kill of all let it crash two more targets."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            store = deployment.store
+            await crash_until_refused(deployment, session)
+            await standins.wait_until(
+                lambda: any(
+                    key == gateway_module.SUSPECTS_KEY
+                    for _, key in store.row_by_name
+                )
+            )
+            for gateway in deployment.gateways:
+                await gateway.close()
+            deployment.gateways.clear()
+            restarted = await deployment.start_gateway(is_first_start=False)
+            await standins.wait_until(
+                lambda: restarted.is_ready and restarted.fleet.is_reached
+            )
+            ran = sum(len(r.requests) for r in deployment.replicas)
+            async with session.post(
+                deployment.url("/write/a"),
+                data=b"poison",
+                headers=scenarios.headers("again"),
+            ) as answer:
+                assert answer.status == 503
+            assert ran == sum(len(r.requests) for r in deployment.replicas)
+
+        scenarios.run_scenario(scenario, plain=2, engines=0)
+
+
+async def crash_until_refused(
+    deployment: standins.Deployment, session: aiohttp.ClientSession
+) -> None:
+    """Send a request that crashes targets until it is refused."""
+    for number in range(CRASHES_TO_REFUSE):
+        for replica in deployment.replicas:
+            replica.behaviour = crash
+        async with session.post(
+            deployment.url("/write/a"),
+            data=b"poison",
+            headers=scenarios.headers(f"a{number}"),
+        ) as answer:
+            assert answer.status == 502
+        await wait_for_crashes(deployment, number + 1)
+
+
 async def wait_for_crashes(
     deployment: standins.Deployment, crashes: int
 ) -> None:
