Soak: replicas leave by their answers alone, and turn requests away

Cause: the soak's replicas told of leaving only by their entries, and never named a time when they rejected requests. Change: two of five leavings are told by answers alone; a fault lets a replica reject requests and name a time. The ledger checks both by what each process had passed on, or was told; both checks have a test.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -168,6 +168,7 @@
             kind,
             loop.time(),
             instance.disturbance.is_calm(loop.time()),
+            instance.incarnation,
         )
         body = f"body of {attempt}".encode()
         try:
@@ -176,6 +177,8 @@
                 data=body,
                 headers=self._headers(attempt, kind),
             ) as answer:
+                if "Server-Leaving" in answer.headers:
+                    self._ledger.note_told_leaving(attempt, loop.time())
                 data = await answer.read()
         except CLIENT_ERRORS as error:
             self._note_cut(attempt, instance, stopping, error)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -62,6 +62,7 @@
             "links cut": self._cut_links,
             "limit": self._limit,
             "brittle": self._be_brittle,
+            "turned away": self._turn_away,
         }
         for kind in left_out:
             del self._kinds[kind]
@@ -182,6 +183,10 @@
             self._random.choice(ready), self._random.uniform(1.0, MAX_CUT_S)
         )
 
+    async def _turn_away(self) -> None:
+        ready = [r for r in self._replicas if r.state == "ready"]
+        await self.needs.pause(self._random.choice(ready), self._duration_s())
+
     async def _be_brittle(self) -> None:
         service = self._random.choice(["plain", "engines"])
         await self.needs.be_brittle(
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -20,6 +20,7 @@
 TOLD_S = 0.5
 COUNTED_CRASHES = 5
 MAX_LATE_BAD = 3
+MAX_PAUSE_ARRIVALS = 2
 
 
 @dataclasses.dataclass
@@ -30,6 +31,7 @@
     kind: str
     at_s: float
     is_in_touch: bool
+    incarnation: int = 0
 
 
 @dataclasses.dataclass
@@ -55,6 +57,15 @@
     told_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass
+class StatedPause:
+    """A time in which a replica wants no requests from one process."""
+
+    begun_s: float
+    end_s: float
+    arrivals: int = 0
+
+
 @dataclasses.dataclass
 class BrittleTime:
     """A time in which replicas are brittle, and their falls in it."""
@@ -104,6 +115,9 @@
         self.crash_s: list[float] = []
         self.bad_attempts: set[str] = set()
         self.leaving_s: dict[str, float] = {}
+        # By replica, and by instance and number of its process.
+        self.told_leaving_s: dict[tuple[str, str, int], float] = {}
+        self.pauses: dict[tuple[str, str, int], StatedPause] = {}
         self.store = Disturbance()
         self.targets = Disturbance()
         self.limits: list[StatedLimit] = []
@@ -131,6 +145,68 @@
                 f"{arrival.at_s - leaving_s:.2f} s after it was leaving, "
                 f"from {sent.instance}"
             )
+        else:
+            self._check_told(arrival, sent)
+            self.note_reached(arrival.replica, arrival.attempt, arrival.at_s)
+
+    def _check_told(self, arrival: Arrival, sent: Sent) -> None:
+        """Check a request for a replica that has said that it leaves."""
+        told_s = self.told_leaving_s.get(
+            (arrival.replica, sent.instance, sent.incarnation), math.inf
+        )
+        if sent.at_s - told_s > DRAIN_S and sent.is_in_touch:
+            self.violate(
+                f"{arrival.attempt}: reached {arrival.replica}, sent "
+                f"{sent.at_s - told_s:.2f} s after {sent.instance} passed on "
+                "that it leaves"
+            )
+
+    def note_told_leaving(self, attempt: str, now_s: float) -> None:
+        """Record that an instance passed on that a replica leaves."""
+        sent = self.sent[attempt]
+        replica = next(
+            a.replica for a in reversed(self.arrivals) if a.attempt == attempt
+        )
+        self.told_leaving_s.setdefault(
+            (replica, sent.instance, sent.incarnation), now_s
+        )
+
+    def note_turned_away(
+        self, replica: str, attempt: str, now_s: float, pause_s: float
+    ) -> None:
+        """Record a rejection with the time that a replica states."""
+        self.note_reached(replica, attempt, now_s)
+        sent = self.sent.get(attempt)
+        if sent is None:
+            return
+        key = (replica, sent.instance, sent.incarnation)
+        if key not in self.pauses or self.pauses[key].end_s <= now_s:
+            self.pauses[key] = StatedPause(now_s, now_s + pause_s)
+
+    def note_reached(self, replica: str, attempt: str, now_s: float) -> None:
+        """Check a request that reaches a replica in its stated time.
+
+        While links are cut a request may come through another instance.
+        """
+        sent = self.sent.get(attempt)
+        if sent is None or not sent.is_in_touch or self._are_links_cut(now_s):
+            return
+        key = (replica, sent.instance, sent.incarnation)
+        pause = self.pauses.get(key)
+        if pause is None or not pause.begun_s + TOLD_S < now_s < pause.end_s:
+            return
+        pause.arrivals += 1
+        if pause.arrivals == MAX_PAUSE_ARRIVALS + 1:
+            self.violate(
+                f"{attempt}: reached {replica} {now_s - pause.begun_s:.2f} s "
+                f"after {sent.instance} was told to wait until "
+                f"{pause.end_s - pause.begun_s:.1f} s, with others"
+            )
+
+    def _are_links_cut(self, now_s: float) -> bool:
+        return any(
+            cut.begun_s <= now_s < cut.end_s + CONTACT_S for cut in self.cuts
+        )
 
     def check_runs(self) -> None:
         """Check how often requests ran, at the end."""
--- a/tests/soak/needs.py
+++ b/tests/soak/needs.py
@@ -1,4 +1,4 @@
-"""Replicas that limit their requests, or fail by many rejections."""
+"""Replicas that limit their requests, turn them away, leave or are brittle."""
 
 import asyncio
 import collections
@@ -11,6 +11,7 @@
 from tests.wire import standins
 
 LIMITS = ("0", "0.5", "1.5", "8")
+PAUSES_S = ("0.8", "2", "3.5")
 ROOM = 2
 TOLERATED_REJECTIONS = 3
 SECOND_S = 1.0
@@ -24,6 +25,8 @@
         self._random = rnd
         self._limit_by_replica: dict[str, str] = {}
         self._brittle: dict[str, ledgers.BrittleTime] = {}
+        self._pause_by_replica: dict[str, str] = {}
+        self._leaving: set[str] = set()
         self._running: collections.Counter[str] = collections.Counter()
         self._rejected_s: dict[str, list[float]] = {}
         self.crash: typing.Callable[[standins.ReplicaStandIn], None]
@@ -45,6 +48,18 @@
         stated.end_s = self._now_s()
         self._limit_by_replica.pop(replica.name, None)
 
+    async def pause(
+        self, replica: standins.ReplicaStandIn, duration_s: float
+    ) -> None:
+        """Let a replica reject all requests for a time, and name one."""
+        self._pause_by_replica[replica.name] = self._random.choice(PAUSES_S)
+        await asyncio.sleep(duration_s)
+        self._pause_by_replica.pop(replica.name, None)
+
+    def leave(self, replica: standins.ReplicaStandIn) -> None:
+        """Let a replica say in its answers that it leaves."""
+        self._leaving.add(replica.name)
+
     async def be_brittle(
         self, replicas: list[standins.ReplicaStandIn], duration_s: float
     ) -> None:
@@ -64,12 +79,16 @@
             stated["Server-Limit"] = self._limit_by_replica[replica.name]
         if replica.name in self._brittle:
             stated["Server-Brittle"] = str(TOLERATED_REJECTIONS)
+        if replica.name in self._leaving:
+            stated["Server-Leaving"] = "1"
         return stated
 
     def rejection(
         self, replica: standins.ReplicaStandIn, request: web.BaseRequest
     ) -> web.Response | None:
-        """Return a rejection if a brittle replica has no room."""
+        """Return a rejection of a replica that pauses or has no room."""
+        if replica.name in self._pause_by_replica:
+            return self._turn_away(replica, request)
         time = self._brittle.get(replica.name)
         if time is None or self._running[replica.name] < ROOM:
             return None
@@ -94,6 +113,23 @@
             | {"Not-Executed": "1"},
         )
 
+    def _turn_away(
+        self, replica: standins.ReplicaStandIn, request: web.BaseRequest
+    ) -> web.Response:
+        pause = self._pause_by_replica[replica.name]
+        self._ledger.note_turned_away(
+            replica.name,
+            request.headers["Attempt-Id"],
+            self._now_s(),
+            float(pause),
+        )
+        return web.Response(
+            status=503,
+            headers=standins.signed(request)
+            | self.headers(replica)
+            | {"Not-Executed": "1", "Retry-After": pause},
+        )
+
     def begin(self, replica: standins.ReplicaStandIn) -> None:
         """Count a request that runs at a replica."""
         self._running[replica.name] += 1
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -10,6 +10,7 @@
 
 from tests.soak import callers
 from tests.soak import ledger as ledgers
+from tests.soak import needs as needs_module
 from tests.soak import processes
 from tests.wire import standins
 
@@ -17,6 +18,8 @@
 PROBE_PERIOD_S = 0.1
 LEAVE_PERIOD_S = 3.0
 SERVES_ON_S = 4.0
+# Leavings of which only the replica's answers tell.
+UNREPORTED_FRACTION = 0.4
 FLOOD_RATE = 1_000
 FLOOD_BURST = 1_000
 
@@ -31,7 +34,9 @@
         replicas: list[standins.ReplicaStandIn],
         ledger: ledgers.Ledger,
         rnd: random.Random,
+        needs: needs_module.Needs,
     ) -> None:
+        self._needs = needs
         self._instances = instances
         self._store = store
         self._replicas = replicas
@@ -172,6 +177,19 @@
         except callers.CLIENT_ERRORS:
             return 0
 
+    def _leave(self, leaving: standins.ReplicaStandIn) -> None:
+        """Let a replica begin to leave, and mostly write so."""
+        leaving.state = "draining"
+        self._needs.leave(leaving)
+        if self._random.random() < UNREPORTED_FRACTION:
+            self._ledger.note_event(f"{leaving.name} leaves by its answers")
+            return
+        is_stable = self._ledger.store.is_calm(self._now_s())
+        self._store.put("servers", leaving.name, leaving.entry())
+        self._ledger.note_event(f"{leaving.name} leaves, {is_stable=}")
+        if is_stable:
+            self._ledger.leaving_s[leaving.name] = self._now_s()
+
     async def run_replacements(
         self,
         end_s: float,
@@ -185,12 +203,7 @@
             if self._store.is_down or self._store.is_silent:
                 continue
             await start(f"r{next(self._numbers)}", leaving.service)
-            is_stable = self._ledger.store.is_calm(self._now_s())
-            leaving.state = "draining"
-            self._store.put("servers", leaving.name, leaving.entry())
-            self._ledger.note_event(f"{leaving.name} leaves, {is_stable=}")
-            if is_stable:
-                self._ledger.leaving_s[leaving.name] = self._now_s()
+            self._leave(leaving)
             await asyncio.sleep(SERVES_ON_S)
             self._store.remove("servers", leaving.name)
             self._replicas.remove(leaving)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -73,7 +73,7 @@
             *arguments, self.ledger, self._random, self._left_out
         )
         self._operator = operators.Operator(
-            *arguments, self.ledger, self._random
+            *arguments, self.ledger, self._random, self._replies.needs
         )
         self._replies.crash = self._crash
         self._replies.needs.crash = self._crash
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -56,6 +56,30 @@
         arrive(ledger, "a", at_s=12.1)
         assert len(ledger.violations) == 1
 
+    def test_late_request_to_a_replica_that_said_it_leaves_is_named(
+        self,
+    ) -> None:
+        """Its entry needn't say so, but the instance has passed it on."""
+        ledger = ledger_with("a", "b")
+        arrive(ledger, "a")
+        ledger.note_told_leaving("a", 10.0)
+        ledger.sent["b"].at_s = 12.0
+        arrive(ledger, "b", at_s=12.5)
+        assert ledger.violations == []
+        ledger.sent["b"].at_s = 12.1
+        arrive(ledger, "b", at_s=12.5)
+        assert len(ledger.violations) == 1
+
+    def test_requests_in_a_stated_time_are_named(self) -> None:
+        """Two are allowed, and more in the first half second."""
+        ledger = ledger_with("a")
+        for at_s in (1.0, 1.1, 1.4, 2.0, 3.0, 4.1):
+            ledger.note_turned_away("r0", "a", at_s, 3.0)
+        assert ledger.violations == []
+        for at_s in (5.0, 5.1, 5.2):
+            ledger.note_turned_away("r0", "a", at_s, 3.0)
+        assert len(ledger.violations) == 1
+
     def test_request_that_no_caller_sent_is_named(self) -> None:
         """It could be half of another one."""
         ledger = ledger_with()
