Don't take the 404 of a peer that relays nothing for the target's

Cause: it sent requests through a peer of the older build, whose port knows no relays and answers 404; that was passed on as the target's answer.

Change: a 404 through a peer that doesn't name the attempt, as a target's own answer does, counts as not sent; another peer or target is tried.

Evidence: the new test fails before (404) and passes now (503, not run); the 13 tests of cut instances pass.

--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -45,6 +45,7 @@
     ValueError,
     asyncio.IncompleteReadError,
 )
+STATUS_NOT_FOUND = 404
 STATUS_MISDIRECTED_REQUEST = 421
 STATUS_UNAVAILABLE = 503
 # In the answer of a peer that could not send a request to the target.
@@ -129,7 +130,7 @@
         response = await self.open(
             relay_address or record.target.address, outgoing
         )
-        if RELAY_NOT_CONNECTED in response.headers and relay_address:
+        if relay_address and self._is_unrelayed(response):
             response.release()
             raise AttemptFailed(
                 FailureKind.NOT_CONNECTED, f"not reached by {relay_address}"
@@ -140,6 +141,17 @@
         self._check_answer(response, answer, outgoing)
         return response
 
+    def _is_unrelayed(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether a peer answers that it sent nothing to the target.
+
+        One of a build without relays doesn't know the path; a target's own
+        answer names the attempt.
+        """
+        return RELAY_NOT_CONNECTED in response.headers or (
+            response.status == STATUS_NOT_FOUND
+            and not self._codec.decode_answer(response.headers).attempt
+        )
+
     def note_head(
         self,
         record: target_registry.TargetRecord,
--- a/tests/wire/test_cut_instances.py
+++ b/tests/wire/test_cut_instances.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from unittest import mock
 
 from aiohttp import web
 import pytest
@@ -195,6 +196,22 @@
 
         cuts.run_linked(scenario, plain=1, engines=0, gateways=2)
 
+    def test_peer_whose_build_relays_nothing_is_not_taken_for_the_target(
+        self,
+    ) -> None:
+        """Callers got its 404 as the target's answer, during an upgrade."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            older = linked.deployment.gateways[1]
+            await linked.cut({0}, cuts.Cut.RESET)
+            with mock.patch.object(
+                older.relay, "handle", older.peer_calls.handle
+            ):
+                status = await cuts.status_of(linked, 0, "/write/x", "w1")
+            assert status == 503
+
+        cuts.run_linked(scenario, plain=1, engines=0, gateways=2)
+
     def test_target_that_nobody_reaches_is_refused_as_not_run(self) -> None:
         """The caller may send the request again."""
 
