--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
@@ -159,7 +159,8 @@
     ) -> model.AnswerHead:
         """Decode the head of a target's answer, and record what it says."""
         answer = self._codec.decode_answer(response.headers)
-        if response.status != STATUS_UNAVAILABLE:
+        is_rejection = response.status == STATUS_UNAVAILABLE
+        if answer.retry_after_ms is not None and not is_rejection:
             answer = dataclasses.replace(answer, retry_after_ms=None)
         self._on_answer(record, answer)
         return answer
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
@@ -103,9 +103,8 @@
             for peer in self._exchange.link.fresh_peers()
             if not peer.update.get("store", 1)
         }
-        if not set(self._exchange.link.member_by_id) <= set(
-            report_ms_by_member
-        ):
+        members = self._exchange.link.member_by_id
+        if not members.keys() <= report_ms_by_member.keys():
             return
         oldest_ms = min(
             report_ms_by_member.values(), default=self._clock.now_ms()
--- a/packages/cardamom-gateway/src/cardamom_gateway/settings.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/settings.py
@@ -6,7 +6,6 @@
 
 from cardamom_kernel import ids
 
-
 MAX_PORT = 65_535
 
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
@@ -153,10 +153,13 @@
     def wait_ms(self, is_urgent: bool, now_ms: int) -> int:
         """Return the ms until the target may take a request."""
         return max(
-            self.permit_wait_ms(is_urgent, now_ms),
-            self.pause.wait_ms(
-                now_ms, (attempt.started_ms for attempt in self.attempts)
-            ),
+            self.permit_wait_ms(is_urgent, now_ms), self.pause_wait_ms(now_ms)
+        )
+
+    def pause_wait_ms(self, now_ms: int) -> int:
+        """Return the ms until the end of a stated pause, 0 without one."""
+        return self.pause.wait_ms(
+            now_ms, (attempt.started_ms for attempt in self.attempts)
         )
 
     def residents(self, now_ms: int) -> frozenset[model.ModelAndAdapter]:
@@ -538,9 +541,8 @@
 
     def accepts(self, record: TargetRecord) -> bool:
         """Return whether a record is in use, and has stated no pause."""
-        starts_ms = (attempt.started_ms for attempt in record.attempts)
-        return self.is_in_use(record) and not record.pause.wait_ms(
-            self._clock.now_ms(), starts_ms
+        return self.is_in_use(record) and not record.pause_wait_ms(
+            self._clock.now_ms()
         )
 
     def pause(self, record: TargetRecord, stated_ms: int) -> None:
