Read the log by the reader of traces in the list of starved models

Change: it uses read_log, LogLine and its form for people. The test builds the same lines with their time, and asserts the same.

--- a/tests/test_starved.py
+++ b/tests/test_starved.py
@@ -2,12 +2,21 @@
 
 import json
 
+from cardamom_ctl import traces
 from tools import starved
 
 
-def line(time: float, **fields: object) -> str:
+def line(second: float, **fields: object) -> str:
     """Return a log line as the operators' bench shows it."""
-    return f"{time} frontend-0 {json.dumps(fields)}"
+    timestamp = f"2026-07-11T13:55:{second:04.1f}Z"
+    return (
+        f"{second} frontend-0 {json.dumps(fields | {'timestamp': timestamp})}"
+    )
+
+
+def demands_of(*lines: str) -> dict[str, starved.Demand]:
+    """Return what some lines show of each model."""
+    return starved.demand_by_model(traces.read_log([("log", lines)]))
 
 
 class TestStarvedModels:
@@ -15,28 +24,25 @@
 
     def test_refusals_and_orders_of_a_model_are_listed(self) -> None:
         """The reason for a starved model would be searched for by hand."""
-        log = "\n".join(
-            (
-                "not a log line",
-                line(
-                    1.0,
-                    event="placing: order",
-                    kind="unload",
-                    model="rare",
-                    target="e1",
-                    reason="busy: its copies are overloaded",
-                ),
-                line(
-                    2.0,
-                    event="forward: refused",
-                    model="rare",
-                    code="model_loading",
-                    reason="expected wait 4711 ms",
-                ),
-                line(3.0, event="forward: answered", model="busy", status=200),
-            )
+        demands = demands_of(
+            "not a log line",
+            line(
+                1.0,
+                event="placing: order",
+                kind="unload",
+                model="rare",
+                target="e1",
+                reason="busy: its copies are overloaded",
+            ),
+            line(
+                2.0,
+                event="forward: refused",
+                model="rare",
+                code="model_loading",
+                reason="expected wait 4711 ms",
+            ),
+            line(3.0, event="forward: answered", model="busy", status=200),
         )
-        demands = starved.demand_by_model(log)
         rare, busy = demands["rare"], demands["busy"]
         assert (rare.requests, rare.served) == (1, 0)
         assert rare.refused == {"model_loading: expected wait # ms": 1}
@@ -45,5 +51,5 @@
 
     def test_answer_of_another_status_is_not_served(self) -> None:
         """A model that only fails would not be listed."""
-        log = line(1.0, event="forward: answered", model="m", status=500)
-        assert starved.demand_by_model(log)["m"].served == 0
+        failed = line(1.0, event="forward: answered", model="m", status=500)
+        assert demands_of(failed)["m"].served == 0
