Name the error for targets that all have to be waited for

Change: MustWait and _refuse_if_all_wait; texts and behaviour unchanged. Result: make check passes, as do the tests of limits and stated pauses.

--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
@@ -154,7 +154,7 @@
         while True:
             try:
                 record, choice, permit = await self._select_with_permit(call)
-            except target_choice.NoPermit as error:
+            except target_choice.MustWait as error:
                 if not self._may_wait(call, error.wait_ms):
                     raise
                 await self._state.clock.sleep_ms(error.wait_ms)
@@ -180,8 +180,8 @@
     ]:
         """Return the target for the next attempt, with a permit if needed.
 
-        Raises RequestRefused as ``TargetChoice.select`` does, NoPermit if
-        targets are left, but none has a permit.
+        Raises RequestRefused as ``TargetChoice.select`` does, MustWait if
+        targets are left, but none takes requests now.
         """
         while True:
             record, choice = await self._choice.select(call)
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
@@ -25,7 +25,7 @@
 ]
 
 
-class NoPermit(outcomes.RequestRefused):
+class MustWait(outcomes.RequestRefused):
     """Raised for a request whose targets are all at their limits or pause.
 
     One of them may take it after ``wait_ms``.
@@ -292,7 +292,7 @@
                 raise target_failed(
                     call, call.last_failure, outcomes.Step.FIRST_BYTE
                 )
-            self._refuse_without_permit(call, records)
+            self._refuse_if_all_wait(call, records)
             raise admission.refused(
                 outcomes.Code.NO_TARGET,
                 f"{len(records)} targets, all of them tried",
@@ -310,10 +310,10 @@
             )
         return state.targets.by_id[choice.id], choice
 
-    def _refuse_without_permit(
+    def _refuse_if_all_wait(
         self, call: admission.Call, records: list[target_registry.TargetRecord]
     ) -> None:
-        """Raise NoPermit if targets are left, but none takes requests."""
+        """Raise MustWait if targets are left, but none takes requests."""
         now_ms = self._state.clock.now_ms()
         waits_ms = [
             record.wait_ms(call.is_urgent, now_ms)
@@ -322,7 +322,7 @@
         ]
         if not waits_ms:
             return
-        raise NoPermit(len(waits_ms), min(waits_ms))
+        raise MustWait(len(waits_ms), min(waits_ms))
 
     async def _wait_for_adapter(
         self, call: admission.Call, record: target_registry.TargetRecord
