Share what tests of targets wrote twice

Cause: the same crashing behaviour stood in two files, the check of a refused request and the wait for an entry in two and three places, and the soak wrote each instance's first settings twice. Change: standins.crash_for_good and Deployment.register_and_wait serve them; test_suspects has one check of a refusal. Assertions are the same.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -78,10 +78,9 @@
         return self.folder / f"{self.name}.log"
 
     async def prepare(self) -> None:
-        """Start its relay to the store, and write its settings."""
+        """Start its relay to the store."""
         self.relay = relays.Relay(standins.HOST, self._store.port)
         await self.relay.start()
-        self.write_settings()
 
     def write_settings(self) -> None:
         """Write the settings file, as the platform does."""
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -413,6 +413,15 @@
     return web.Response(text=replica.name, headers=signed(request))
 
 
+async def crash_for_good(
+    replica: ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Reset the connection of a request, and refuse every later one."""
+    await replica.stop_listening()
+    reset(request)
+    return web.Response()
+
+
 async def never_answer(
     replica: ReplicaStandIn, request: web.BaseRequest
 ) -> web.StreamResponse:
@@ -578,6 +587,17 @@
         """Write a replica's entry to the store."""
         self.store.put("servers", replica.name, replica.entry())
 
+    async def register_and_wait(self, replica: ReplicaStandIn) -> None:
+        """Write a replica's entry; wait until the first gateway has it."""
+        self.register(replica)
+        targets = self.gateways[0].state.targets.by_id
+        await wait_until(
+            lambda: (
+                targets[replica.name].target.entry_sequence
+                == replica.entry_sequence
+            )
+        )
+
 
 def make_settings(
     number: int, store: StoreStandIn
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -1016,18 +1016,11 @@
     def test_request_that_crashes_targets_is_refused(self) -> None:
         """Retries through a peer could crash all targets."""
 
-        async def crash(
-            replica: standins.ReplicaStandIn, request: web.BaseRequest
-        ) -> web.StreamResponse:
-            await replica.stop_listening()
-            standins.reset(request)
-            return web.Response()
-
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             for replica in deployment.replicas:
-                replica.behaviour = crash
+                replica.behaviour = standins.crash_for_good
             async with session.post(
                 deployment.url("/read/a"),
                 data=b"poison",
--- a/tests/wire/test_software_versions.py
+++ b/tests/wire/test_software_versions.py
@@ -145,11 +145,7 @@
     engine = deployment.replicas[1]
     engine.born_ms += 1
     engine.software = version
-    deployment.register(engine)
-    first = deployment.gateways[0].state.targets
-    await standins.wait_until(
-        lambda: first.by_id[engine.name].target.software_version == version
-    )
+    await deployment.register_and_wait(engine)
 
 
 @contextlib.contextmanager
--- a/tests/wire/test_stated_leaving.py
+++ b/tests/wire/test_stated_leaving.py
@@ -178,25 +178,14 @@
             leaving = deployment.replicas[0]
             leaving.behaviour = leave_and_answer
             await send_for(deployment, session, "/read/a", HEARD_S, "a")
-            deployment.register(leaving)  # a later entry of the same start
-            targets = deployment.gateways[0].state.targets.by_id
-            await standins.wait_until(
-                lambda: (
-                    targets[leaving.name].target.entry_sequence
-                    == leaving.entry_sequence
-                )
-            )
+            # A later entry of the same start changes nothing.
+            await deployment.register_and_wait(leaving)
             before = len(leaving.requests)
             await send_for(deployment, session, "/read/a", HEARD_S, "b")
             assert len(leaving.requests) == before
             leaving.behaviour = standins.answer_at_once
             leaving.born_ms += 1
-            deployment.register(leaving)
-            await standins.wait_until(
-                lambda: (
-                    targets[leaving.name].target.started_ms == leaving.born_ms
-                )
-            )
+            await deployment.register_and_wait(leaving)
             await send_for(deployment, session, "/read/a", HEARD_S, "c")
             assert len(leaving.requests) > before
 
--- a/tests/wire/test_stated_pauses.py
+++ b/tests/wire/test_stated_pauses.py
@@ -169,13 +169,7 @@
             pausing.is_pausing = False
             assert await status_of(deployment, session, "b") == 503
             replica.born_ms += 1
-            deployment.register(replica)
-            targets = deployment.gateways[0].state.targets.by_id
-            await standins.wait_until(
-                lambda: (
-                    targets[replica.name].target.started_ms == replica.born_ms
-                )
-            )
+            await deployment.register_and_wait(replica)
             assert await status_of(deployment, session, "c") == 200
 
         scenarios.run_scenario(scenario, plain=1, engines=0)
--- a/tests/wire/test_suspects.py
+++ b/tests/wire/test_suspects.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import aiohttp
-from aiohttp import web
 import pytest
 
 from cardamom_gateway import gateway as gateway_module
@@ -34,15 +33,6 @@
 CRASHES_TO_REFUSE = 2
 
 
-async def crash(
-    replica: standins.ReplicaStandIn, request: web.BaseRequest
-) -> web.StreamResponse:
-    """Crash for good; a new target takes its place."""
-    await replica.stop_listening()
-    standins.reset(request)
-    return web.Response()
-
-
 class TestLostPeers:
     """Crashes that no other instance can confirm."""
 
@@ -63,14 +53,7 @@
             await lost.close()
             await asyncio.sleep(silence_s)
             await crash_until_refused(deployment, session)
-            crashed = sum(len(r.requests) for r in deployment.replicas)
-            async with session.post(
-                deployment.url("/write/a"),
-                data=b"poison",
-                headers=scenarios.headers("last"),
-            ) as answer:
-                assert answer.status == 503
-            assert crashed == sum(len(r.requests) for r in deployment.replicas)
+            await assert_refused(deployment, session)
 
         scenarios.run_scenario(scenario, plain=plain, engines=0, gateways=2)
 
@@ -99,14 +82,7 @@
             await standins.wait_until(
                 lambda: restarted.is_ready and restarted.fleet.is_reached
             )
-            ran = sum(len(r.requests) for r in deployment.replicas)
-            async with session.post(
-                deployment.url("/write/a"),
-                data=b"poison",
-                headers=scenarios.headers("again"),
-            ) as answer:
-                assert answer.status == 503
-            assert ran == sum(len(r.requests) for r in deployment.replicas)
+            await assert_refused(deployment, session)
 
         scenarios.run_scenario(scenario, plain=2, engines=0)
 
@@ -117,16 +93,34 @@
     """Send a request that crashes targets until it is refused."""
     for number in range(CRASHES_TO_REFUSE):
         for replica in deployment.replicas:
-            replica.behaviour = crash
-        async with session.post(
-            deployment.url("/write/a"),
-            data=b"poison",
-            headers=scenarios.headers(f"a{number}"),
-        ) as answer:
-            assert answer.status == 502
+            replica.behaviour = standins.crash_for_good
+        assert await status_of_poison(deployment, session, f"a{number}") == 502
         await wait_for_crashes(deployment, number + 1)
 
 
+async def assert_refused(
+    deployment: standins.Deployment, session: aiohttp.ClientSession
+) -> None:
+    """Assert that the request is refused and reaches no target."""
+    ran = sum(len(r.requests) for r in deployment.replicas)
+    assert await status_of_poison(deployment, session, "last") == 503
+    assert ran == sum(len(r.requests) for r in deployment.replicas)
+
+
+async def status_of_poison(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    attempt: str,
+) -> int:
+    """Return the status of the request that crashes targets."""
+    async with session.post(
+        deployment.url("/write/a"),
+        data=b"poison",
+        headers=scenarios.headers(attempt),
+    ) as answer:
+        return answer.status
+
+
 async def wait_for_crashes(
     deployment: standins.Deployment, crashes: int
 ) -> None:
