Move the gateway's modules into folders by job

Change: requests, targets, engines, fleet and store hold the modules of their job; only files and imports move.

--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Models on engines: placement, orders, holdings, demand."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/engine_orders.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
@@ -14,11 +14,11 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import invariants
 
+from cardamom_gateway.engines import order_terms
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
-from cardamom_gateway import order_terms
 from cardamom_gateway import state as state_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/holdings_exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/holdings_exchange.py
@@ -9,8 +9,8 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 
-from cardamom_gateway import holdings as holdings_module
-from cardamom_gateway import peers
+from cardamom_gateway.engines import holdings as holdings_module
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import state as state_module
 
 LOG = structlog.get_logger("cardamom.gateway.holdings")
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_lease.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/order_lease.py
@@ -7,8 +7,8 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import leases
 
-from cardamom_gateway import exchange as exchange_module
-from cardamom_gateway import placing
+from cardamom_gateway.engines import placing
+from cardamom_gateway.fleet import exchange as exchange_module
 from cardamom_gateway import state as state_module
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
--- a/packages/cardamom-gateway/src/cardamom_gateway/order_terms.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/order_terms.py
@@ -14,9 +14,9 @@
 from cardamom_kernel import ids
 from cardamom_kernel import leases
 
-from cardamom_gateway import handovers
+from cardamom_gateway.engines import handovers
+from cardamom_gateway.engines import store_loads
 from cardamom_gateway import state as state_module
-from cardamom_gateway import store_loads
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
@@ -11,14 +11,14 @@
 from cardamom_kernel import leases
 from cardamom_policy import tiering
 
-from cardamom_gateway import engine_orders
-from cardamom_gateway import holdings as holdings_module
+from cardamom_gateway.engines import engine_orders
+from cardamom_gateway.engines import holdings as holdings_module
+from cardamom_gateway.engines import order_terms
+from cardamom_gateway.engines import store_loads
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
-from cardamom_gateway import order_terms
 from cardamom_gateway import state as state_module
-from cardamom_gateway import store_loads
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
 
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""State updates and calls between instances."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/digests.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/digests.py
@@ -19,7 +19,7 @@
 
 from cardamom_kernel import clocks
 
-from cardamom_gateway import peers
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import settings as settings_module
 
 LOG = structlog.get_logger("cardamom.gateway.digests")
--- a/packages/cardamom-gateway/src/cardamom_gateway/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -35,18 +35,18 @@
 from cardamom_kernel import rendezvous
 from cardamom_policy import fleet_windows
 
-from cardamom_gateway import delays
-from cardamom_gateway import demand
-from cardamom_gateway import digests
-from cardamom_gateway import holdings as holdings_module
-from cardamom_gateway import holdings_exchange
-from cardamom_gateway import leaving_reports
-from cardamom_gateway import peers
+from cardamom_gateway.engines import demand
+from cardamom_gateway.engines import holdings as holdings_module
+from cardamom_gateway.engines import holdings_exchange
+from cardamom_gateway.fleet import delays
+from cardamom_gateway.fleet import digests
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import suspect_reports
+from cardamom_gateway.requests import stream_origins
 from cardamom_gateway import state as state_module
-from cardamom_gateway import stream_origins
-from cardamom_gateway import suspect_reports
-from cardamom_gateway import target_limits
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import leaving_reports
+from cardamom_gateway.targets import target_limits
+from cardamom_gateway.targets import target_registry
 
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
 MIN_START_GAP_MS = 4_000  # processes restarted together start within it
--- a/packages/cardamom-gateway/src/cardamom_gateway/member_rows.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/member_rows.py
@@ -7,8 +7,8 @@
 from cardamom_kernel import ids
 from cardamom_kernel import tables
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
-from cardamom_gateway import peers
 from cardamom_gateway import settings
 
 PREFIX = "instance/"
--- a/packages/cardamom-gateway/src/cardamom_gateway/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
@@ -14,14 +14,14 @@
 from cardamom_platform import answer_bodies
 from cardamom_platform import pools
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
-from cardamom_gateway import peers
+from cardamom_gateway.requests import stream_origins
 from cardamom_gateway import sockets
 from cardamom_gateway import state as state_module
-from cardamom_gateway import store_relay
-from cardamom_gateway import stream_origins
-from cardamom_gateway import target_limits
+from cardamom_gateway.store import store_relay
+from cardamom_gateway.targets import target_limits
 
 LOG = structlog.get_logger("cardamom.gateway.peer_calls")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/peers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peers.py
@@ -19,7 +19,7 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 
-from cardamom_gateway import delays
+from cardamom_gateway.fleet import delays
 from cardamom_gateway import settings as settings_module
 
 LOG = structlog.get_logger("cardamom.gateway.peers")
--- a/packages/cardamom-gateway/src/cardamom_gateway/suspect_reports.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/suspect_reports.py
@@ -22,7 +22,7 @@
 from cardamom_kernel import rendezvous
 from cardamom_kernel import suspicion
 
-from cardamom_gateway import peers
+from cardamom_gateway.fleet import peers
 
 LOG = structlog.get_logger("cardamom.gateway.suspects")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -16,32 +16,32 @@
 from cardamom_kernel import tasks
 from cardamom_policy import fleet_windows
 
-from cardamom_gateway import attempts
-from cardamom_gateway import delays
-from cardamom_gateway import exchange
-from cardamom_gateway import followers
-from cardamom_gateway import forwarding
+from cardamom_gateway.engines import order_lease
+from cardamom_gateway.engines import placing
+from cardamom_gateway.fleet import delays
+from cardamom_gateway.fleet import exchange
+from cardamom_gateway.fleet import member_rows
+from cardamom_gateway.fleet import peer_calls
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import stored_suspects
+from cardamom_gateway.fleet import usage
 from cardamom_gateway import interfaces
-from cardamom_gateway import member_rows
 from cardamom_gateway import model
-from cardamom_gateway import order_lease
-from cardamom_gateway import peer_calls
-from cardamom_gateway import peers
-from cardamom_gateway import permit_client
-from cardamom_gateway import placing
-from cardamom_gateway import reachability
-from cardamom_gateway import relayed_tables
-from cardamom_gateway import relaying
+from cardamom_gateway.requests import attempts
+from cardamom_gateway.requests import forwarding
+from cardamom_gateway.requests import relaying
+from cardamom_gateway.requests import stream_origins
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway import state as state_module
-from cardamom_gateway import store_calls
-from cardamom_gateway import store_relay
-from cardamom_gateway import store_watch
-from cardamom_gateway import stored_suspects
-from cardamom_gateway import stream_origins
-from cardamom_gateway import target_registry
-from cardamom_gateway import target_watch
-from cardamom_gateway import usage
+from cardamom_gateway.store import followers
+from cardamom_gateway.store import relayed_tables
+from cardamom_gateway.store import store_calls
+from cardamom_gateway.store import store_relay
+from cardamom_gateway.store import store_watch
+from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import reachability
+from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_watch
 
 LOG = structlog.get_logger("cardamom.gateway")
 
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: admission, choice, attempts, answer."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -12,11 +12,11 @@
 from cardamom_kernel import outcomes
 from cardamom_policy import refusals
 
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import suspect_reports
 from cardamom_gateway import model
-from cardamom_gateway import peers
+from cardamom_gateway.requests import streams
 from cardamom_gateway import state as state_module
-from cardamom_gateway import streams
-from cardamom_gateway import suspect_reports
 
 # Number of distinct route priorities within one team priority.
 ROUTE_PRIORITIES_PER_TEAM_PRIORITY = 3
--- a/packages/cardamom-gateway/src/cardamom_gateway/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -12,11 +12,11 @@
 from cardamom_kernel import clocks
 from cardamom_platform import connectors
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
-from cardamom_gateway import peers
 from cardamom_gateway import sockets
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.attempts")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/caller_answers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/caller_answers.py
@@ -9,8 +9,8 @@
 
 from cardamom_kernel import outcomes
 
-from cardamom_gateway import admission
 from cardamom_gateway import interfaces
+from cardamom_gateway.requests import admission
 from cardamom_gateway import state as state_module
 
 LOG = structlog.get_logger("cardamom.gateway.forward")
--- a/packages/cardamom-gateway/src/cardamom_gateway/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -14,19 +14,19 @@
 from cardamom_policy import dispatching
 from cardamom_policy import refusals
 
-from cardamom_gateway import admission
-from cardamom_gateway import attempts
-from cardamom_gateway import caller_answers
+from cardamom_gateway.fleet import suspect_reports
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
-from cardamom_gateway import permit_client
-from cardamom_gateway import reachability
-from cardamom_gateway import relaying
+from cardamom_gateway.requests import admission
+from cardamom_gateway.requests import attempts
+from cardamom_gateway.requests import caller_answers
+from cardamom_gateway.requests import relaying
+from cardamom_gateway.requests import stream_origins
+from cardamom_gateway.requests import target_choice
 from cardamom_gateway import state as state_module
-from cardamom_gateway import stream_origins
-from cardamom_gateway import suspect_reports
-from cardamom_gateway import target_choice
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import reachability
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.forward")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
@@ -14,9 +14,9 @@
 from cardamom_kernel import ids
 from cardamom_platform import answer_bodies
 
-from cardamom_gateway import attempts
+from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.relaying")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/stream_origins.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/stream_origins.py
@@ -28,10 +28,10 @@
 from cardamom_kernel import ids
 from cardamom_kernel import rendezvous
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
-from cardamom_gateway import peers
-from cardamom_gateway import shared_reads
-from cardamom_gateway import target_registry
+from cardamom_gateway.store import shared_reads
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.streams")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -9,10 +9,10 @@
 from cardamom_policy import refusals
 from cardamom_policy import tiering
 
-from cardamom_gateway import admission
 from cardamom_gateway import model
+from cardamom_gateway.requests import admission
 from cardamom_gateway import state as state_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 # Longest wait for a model, as a fraction of the time to the deadline; it is
 # longer if the route's objective is.
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -9,12 +9,12 @@
 from cardamom_kernel import trait_suspicion
 from cardamom_policy import fleet_windows
 
-from cardamom_gateway import demand
+from cardamom_gateway.engines import demand
 from cardamom_gateway import interfaces
 from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway import model
 from cardamom_gateway import settings as settings_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 OVERAGE_RATIO = 0.6  # share of the allowed rate overage that is used
 SETTLED_OVERAGE_RATIO = 0.75  # the same while all members report
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reads of the platform's store, by one instance a data centre."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/followers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store/followers.py
@@ -10,7 +10,7 @@
 from cardamom_kernel import tables
 
 from cardamom_gateway import interfaces
-from cardamom_gateway import store_relay
+from cardamom_gateway.store import store_relay
 
 LOG = structlog.get_logger("cardamom.gateway.followers")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/relayed_tables.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store/relayed_tables.py
@@ -4,8 +4,8 @@
 
 from cardamom_kernel import tables
 
-from cardamom_gateway import peer_calls
-from cardamom_gateway import peers
+from cardamom_gateway.fleet import peer_calls
+from cardamom_gateway.fleet import peers
 
 
 class RelayedTable(tables.Table):
--- a/packages/cardamom-gateway/src/cardamom_gateway/store_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store/store_watch.py
@@ -18,13 +18,13 @@
 from cardamom_kernel import ids
 from cardamom_kernel import tables
 
-from cardamom_gateway import exchange as exchange_module
-from cardamom_gateway import followers
+from cardamom_gateway.fleet import exchange as exchange_module
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
-from cardamom_gateway import peers
 from cardamom_gateway import settings as settings_module
-from cardamom_gateway import store_readers
-from cardamom_gateway import store_relay
+from cardamom_gateway.store import followers
+from cardamom_gateway.store import store_readers
+from cardamom_gateway.store import store_relay
 
 LOG = structlog.get_logger("cardamom.gateway.store_watch")
 
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/__init__.py
@@ -0,0 +1,1 @@
+"""The targets: registry, limits, permits, reachability."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/leaving_reports.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/leaving_reports.py
@@ -13,9 +13,9 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
-from cardamom_gateway import peers
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 MS_PER_S = 1000
 MAX_DELAY_MS = 100
--- a/packages/cardamom-gateway/src/cardamom_gateway/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -8,9 +8,9 @@
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
 
-from cardamom_gateway import peers
-from cardamom_gateway import target_limits
-from cardamom_gateway import target_registry
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.targets import target_limits
+from cardamom_gateway.targets import target_registry
 
 # Time without requests to a target after its owner gave no answer.
 NO_ANSWER_PAUSE_MS = 300
--- a/packages/cardamom-gateway/src/cardamom_gateway/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
@@ -20,10 +20,10 @@
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
 
-from cardamom_gateway import attempts
-from cardamom_gateway import peers
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.reachability")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -23,9 +23,9 @@
 from cardamom_policy import permits
 from cardamom_policy import room as room_module
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
-from cardamom_gateway import peers
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.limits")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -11,9 +11,9 @@
 from cardamom_kernel import ids
 from cardamom_policy import dispatching
 
-from cardamom_gateway import holdings as holdings_module
+from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
-from cardamom_gateway import pauses
+from cardamom_gateway.targets import pauses
 
 LOG = structlog.get_logger("cardamom.gateway.targets")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_watch.py
@@ -7,10 +7,10 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import tasks
 
-from cardamom_gateway import attempts
-from cardamom_gateway import reachability
+from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import reachability
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway")
 
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -5,9 +5,9 @@
 import itertools
 import typing
 
-from cardamom_gateway import delays
+from cardamom_gateway.fleet import delays
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import metrics
-from cardamom_gateway import peers
 from cardamom_gateway import settings as settings_module
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
--- a/tests/gateway/test_delays.py
+++ b/tests/gateway/test_delays.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from cardamom_gateway import delays
+from cardamom_gateway.fleet import delays
 from cardamom_gateway import metrics
 from cardamom_kernel import clocks
 
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cardamom_gateway import demand
+from cardamom_gateway.engines import demand
 from cardamom_kernel import clocks
 from cardamom_policy import loading_waits
 from cardamom_policy import tiering
--- a/tests/gateway/test_digests.py
+++ b/tests/gateway/test_digests.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from cardamom_gateway import digests
-from cardamom_gateway import peers
+from cardamom_gateway.fleet import digests
+from cardamom_gateway.fleet import peers
 from cardamom_kernel import ids
 from tests.gateway import links
 
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -3,8 +3,8 @@
 import asyncio
 import typing
 
-from cardamom_gateway import followers
 from cardamom_gateway import interfaces
+from cardamom_gateway.store import followers
 from cardamom_kernel import clocks
 from cardamom_kernel import tables
 
--- a/tests/gateway/test_handovers.py
+++ b/tests/gateway/test_handovers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cardamom_gateway import handovers
+from cardamom_gateway.engines import handovers
 from cardamom_kernel import ids
 
 ENGINE = ids.TargetId("e0")
--- a/tests/gateway/test_holdings.py
+++ b/tests/gateway/test_holdings.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cardamom_gateway import holdings
-from cardamom_gateway import peers
+from cardamom_gateway.engines import holdings
+from cardamom_gateway.fleet import peers
 from cardamom_kernel import ids
 from tests.gateway import links
 
--- a/tests/gateway/test_leaving_reports.py
+++ b/tests/gateway/test_leaving_reports.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from cardamom_gateway import leaving_reports
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import leaving_reports
+from cardamom_gateway.targets import target_registry
 from cardamom_kernel import ids
 from tests.gateway import links
 from tests.gateway import test_target_registry
--- a/tests/gateway/test_shared_reads.py
+++ b/tests/gateway/test_shared_reads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cardamom_gateway import shared_reads
+from cardamom_gateway.store import shared_reads
 
 
 class TestSharedRead:
--- a/tests/gateway/test_store_calls.py
+++ b/tests/gateway/test_store_calls.py
@@ -5,7 +5,7 @@
 
 from cardamom_gateway import interfaces
 from cardamom_gateway import metrics
-from cardamom_gateway import store_calls
+from cardamom_gateway.store import store_calls
 from cardamom_kernel import tables
 from tests import fakes
 from tests.gateway import test_followers
--- a/tests/gateway/test_store_readers.py
+++ b/tests/gateway/test_store_readers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cardamom_gateway import store_readers
-from cardamom_gateway import store_watch
+from cardamom_gateway.store import store_readers
+from cardamom_gateway.store import store_watch
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 
--- a/tests/gateway/test_store_relay.py
+++ b/tests/gateway/test_store_relay.py
@@ -6,9 +6,9 @@
 import orjson
 import pytest
 
-from cardamom_gateway import followers
 from cardamom_gateway import interfaces
-from cardamom_gateway import store_relay
+from cardamom_gateway.store import followers
+from cardamom_gateway.store import store_relay
 from cardamom_kernel import clocks
 from cardamom_kernel import tables
 from tests.gateway import test_followers
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -6,10 +6,10 @@
 import orjson
 import pytest
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
-from cardamom_gateway import peers
-from cardamom_gateway import stream_origins
-from cardamom_gateway import target_registry
+from cardamom_gateway.requests import stream_origins
+from cardamom_gateway.targets import target_registry
 from cardamom_kernel import ids
 from tests.gateway import links
 from tests.gateway import test_target_registry
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cardamom_gateway import streams
+from cardamom_gateway.requests import streams
 
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
 
--- a/tests/gateway/test_suspect_parts.py
+++ b/tests/gateway/test_suspect_parts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cardamom_gateway import suspect_reports
+from cardamom_gateway.fleet import suspect_reports
 from cardamom_kernel import trait_suspicion
 from tests.gateway import test_suspect_reports
 
--- a/tests/gateway/test_suspect_reports.py
+++ b/tests/gateway/test_suspect_reports.py
@@ -7,8 +7,8 @@
 import orjson
 import pytest
 
-from cardamom_gateway import peers
-from cardamom_gateway import suspect_reports
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import suspect_reports
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import suspicion
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -6,11 +6,11 @@
 
 import pytest
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
-from cardamom_gateway import peers
-from cardamom_gateway import permit_client
-from cardamom_gateway import target_limits
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import target_limits
+from cardamom_gateway.targets import target_registry
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
 from tests.gateway import links
--- a/tests/gateway/test_target_registry.py
+++ b/tests/gateway/test_target_registry.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-from cardamom_gateway import holdings
+from cardamom_gateway.engines import holdings
 from cardamom_gateway import model
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 
--- a/tests/gateway/test_usage.py
+++ b/tests/gateway/test_usage.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from cardamom_gateway import usage
+from cardamom_gateway.fleet import usage
 from cardamom_kernel import ids
 
 TEAM = ids.TeamId("siesta")
--- a/tests/wire/test_earlier_builds.py
+++ b/tests/wire/test_earlier_builds.py
@@ -13,11 +13,11 @@
 import orjson
 import pytest
 
+from cardamom_gateway.fleet import member_rows
+from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import usage
 from cardamom_gateway import gateway as gateway_module
-from cardamom_gateway import member_rows
-from cardamom_gateway import peers
-from cardamom_gateway import stream_origins
-from cardamom_gateway import usage
+from cardamom_gateway.requests import stream_origins
 from cardamom_kernel import ids
 from tests.wire import scenarios
 from tests.wire import standins
--- a/tests/wire/test_malformed_messages.py
+++ b/tests/wire/test_malformed_messages.py
@@ -8,8 +8,8 @@
 import orjson
 import pytest
 
+from cardamom_gateway.fleet import member_rows
 from cardamom_gateway import interfaces
-from cardamom_gateway import member_rows
 from cardamom_wire import configuration
 from cardamom_wire import headers
 from cardamom_wire import targets
--- a/tests/wire/test_store_outages.py
+++ b/tests/wire/test_store_outages.py
@@ -6,11 +6,11 @@
 import orjson
 import pytest
 
+from cardamom_gateway.engines import order_lease
+from cardamom_gateway.fleet import member_rows
 from cardamom_gateway import gateway as gateway_module
 from cardamom_gateway import interfaces
-from cardamom_gateway import member_rows
-from cardamom_gateway import order_lease
-from cardamom_gateway import target_registry
+from cardamom_gateway.targets import target_registry
 from cardamom_kernel import tables
 from cardamom_wire import store as store_module
 from tests.wire import scenarios
--- a/tests/wire/test_store_readers.py
+++ b/tests/wire/test_store_readers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cardamom_gateway import gateway as gateway_module
-from cardamom_gateway import store_readers
+from cardamom_gateway.store import store_readers
 from tests.wire import scenarios
 from tests.wire import standins
 
--- a/tests/wire/test_suspects.py
+++ b/tests/wire/test_suspects.py
@@ -5,8 +5,8 @@
 import aiohttp
 import pytest
 
+from cardamom_gateway.fleet import peers
 from cardamom_gateway import gateway as gateway_module
-from cardamom_gateway import peers
 from tests.wire import scenarios
 from tests.wire import standins
 
