--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
@@ -18,7 +18,7 @@
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import state as state_module
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
 
@@ -197,7 +197,7 @@
 
     async def await_end(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: EngineState,
         kind: interfaces.OrderKind,
         spec: model.ModelSpec,
--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
@@ -18,7 +18,7 @@
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import state as state_module
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.placing")
 
@@ -170,7 +170,7 @@
 
     async def _load_adapter(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
         model_and_adapter: model.ModelAndAdapter,
     ) -> bool:
@@ -187,7 +187,7 @@
 
     async def _order_adapter(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
         model_and_adapter: model.ModelAndAdapter,
     ) -> bool:
@@ -222,7 +222,7 @@
 
     async def _make_room(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
     ) -> bool:
         """Free an adapter slot; return whether one is free.
@@ -387,7 +387,7 @@
         engine: model.EngineSpec,
         records_by_id: dict[
             ids.TargetId,
-            tuple[target_registry.TargetRecord, engine_orders.EngineState],
+            tuple[target_records.TargetRecord, engine_orders.EngineState],
         ],
     ) -> tiering.Situation:
         specs = engine.model_by_name
@@ -421,7 +421,7 @@
 
     def _describe_engine(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
         memory_mb: float,
     ) -> tiering.Engine:
@@ -479,7 +479,7 @@
 
     async def _execute_move(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
         kind: interfaces.OrderKind,
         spec: model.ModelSpec,
@@ -516,7 +516,7 @@
 
     def _handle_order_failure(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         engine_state: engine_orders.EngineState,
         model_and_adapter: model.ModelAndAdapter,
         error: engine_orders.OrderFailed,
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -46,7 +46,7 @@
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import leaving_reports
 from cardamom_gateway.targets import target_limits
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
 MIN_START_GAP_MS = 4_000  # processes restarted together start within it
@@ -273,7 +273,7 @@
         self._state.targets.note_peer_load(
             incarnation,
             {
-                target_id: target_registry.PeerLoad(
+                target_id: target_records.PeerLoad(
                     at_ms,
                     load[0],
                     load[1],
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -14,7 +14,6 @@
 from cardamom_kernel import registry
 from cardamom_kernel import tables
 from cardamom_kernel import tasks
-from cardamom_policy import fleet_windows
 
 from cardamom_gateway.engines import order_lease
 from cardamom_gateway.engines import placing
@@ -23,8 +22,7 @@
 from cardamom_gateway.fleet import member_rows
 from cardamom_gateway.fleet import peer_calls
 from cardamom_gateway.fleet import peers
-from cardamom_gateway.fleet import stored_suspects
-from cardamom_gateway.fleet import usage
+from cardamom_gateway.fleet import stored_rows
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway.requests import attempts
@@ -40,18 +38,14 @@
 from cardamom_gateway.store import store_watch
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import reachability
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_watch
 
 LOG = structlog.get_logger("cardamom.gateway")
 
-USAGE_KEY = "usage"
 # A team's usage grows by a tenth of its window in this time.
 USAGE_PERIOD_MS = 700
-SOFTWARE_KEY = "software"
 SOFTWARE_PERIOD_MS = 700
-SOFTWARE_READ_TIMEOUT_S = 0.5  # a caller waits for the rest of its stream
-SUSPECTS_KEY = "suspects"
 SUSPECTS_PERIOD_MS = 300
 REGISTER_RETRY_MS = 500
 # The store sends entries in batches, and calls to it are charged for.
@@ -113,8 +107,6 @@
         self._settings_modification_time_s = (
             platform.settings_modification_time_s()
         )
-        self._has_stored_usage = True  # a previous holder may have stored some
-        self._stored_suspects = stored_suspects.NONE
         self.state = state_module.GatewayState(
             settings, self.clock, platform.codec
         )
@@ -128,6 +120,16 @@
 
     def _create_components(self) -> None:
         state = self.state
+        self.stored_rows = stored_rows.StoredRows(
+            state,
+            self._table,
+            stored_rows.StoreAccess(
+                lambda: self.placer.is_holder,
+                lambda: self.fleet.is_reached,
+                lambda: self.fleet.store_clock_ms(),
+            ),
+            lambda: self.exchange.origins,
+        )
         self.delay_monitor = delays.DelayMonitor(self.clock, state.metrics)
         self.exchange = exchange.Exchange(
             state,
@@ -139,7 +141,7 @@
             self.delay_monitor,
             lambda: self.store_watch.is_reader(),
             lambda sender, update: self.store_watch.receive(sender, update),
-            self._read_stored_versions,
+            self.stored_rows.read_software,
         )
         state.targets.on_software = self._report_software
         self.link = self.exchange.link
@@ -318,15 +320,19 @@
             "settings", SETTINGS_PERIOD_MS, self._reload_changed_settings
         )
         start_periodic("members", MEMBERS_PERIOD_MS, self._update_members)
-        start_periodic("usage", USAGE_PERIOD_MS, self._store_usage)
+        start_periodic("usage", USAGE_PERIOD_MS, self.stored_rows.store_usage)
         start_periodic(
             "ended counts",
             exchange.ENDED_COUNTS_PERIOD_MS,
             self.exchange.send_ended_counts,
         )
-        start_periodic("software", SOFTWARE_PERIOD_MS, self._store_software)
         start_periodic(
-            "stored suspects", SUSPECTS_PERIOD_MS, self._store_suspects
+            "software", SOFTWARE_PERIOD_MS, self.stored_rows.store_software
+        )
+        start_periodic(
+            "stored suspects",
+            SUSPECTS_PERIOD_MS,
+            self.stored_rows.store_suspects,
         )
         start_periodic(
             "watch", WATCH_PERIOD_MS, self.target_watch.check_targets
@@ -517,18 +523,15 @@
                 for name, member in self._row_by_member.items()
                 if member_rows.PREFIX + name in read
             }
-            self._stored_suspects = stored_suspects.NONE
+            self.stored_rows.forget_suspects()
             self.exchange.origins.is_stored = any(
-                change.key == SOFTWARE_KEY for change in changes.changes
+                change.key == stored_rows.SOFTWARE_KEY
+                for change in changes.changes
             )
         for change in changes.changes:
-            if change.key == USAGE_KEY:
-                self._apply_stored_usage(change.value)
-            elif change.key == SOFTWARE_KEY:
-                self._apply_stored_software(change.value)
-            elif change.key == SUSPECTS_KEY:
-                self._apply_stored_suspects(change.value)
-            elif change.key.startswith(member_rows.PREFIX):
+            if self.stored_rows.apply(change.key, change.value):
+                continue
+            if change.key.startswith(member_rows.PREFIX):
                 self._apply_member(
                     change.key.removeprefix(member_rows.PREFIX), change.value
                 )
@@ -552,122 +555,6 @@
                 "gateway: instance not usable", member=name, error=str(error)
             )
 
-    def _apply_stored_usage(self, value: bytes | None) -> None:
-        """Apply the usage of teams that a holder of the lease stored."""
-        try:
-            profiles = usage.decode(value, self.fleet.store_clock_ms())
-        except usage.MalformedUsage as error:
-            LOG.warning("gateway: stored usage not usable", error=str(error))
-            profiles = {}
-        now_ms = self.clock.now_ms()
-        self.state.rates.set_earlier_use(
-            {
-                team: fleet_windows.Profile(now_ms - age_ms, amounts)
-                for team, (age_ms, amounts) in profiles.items()
-            }
-        )
-
-    def _apply_stored_software(self, value: bytes | None) -> None:
-        """Apply the software versions that a holder of the lease stored."""
-        if value is None:
-            return
-        try:
-            versions = stream_origins.decode_versions(value)
-        except (ValueError, TypeError) as error:
-            LOG.warning(
-                "gateway: stored versions not usable", error=str(error)
-            )
-            return
-        self.exchange.origins.stored_versions_by_service = versions
-        self.exchange.origins.is_stored = True
-
-    def _apply_stored_suspects(self, value: bytes | None) -> None:
-        """Apply what is refused, as a holder of the lease stored it."""
-        if value is None:
-            self._stored_suspects = stored_suspects.NONE
-            return
-        try:
-            requests, parts = stored_suspects.decode(
-                value, self.fleet.store_clock_ms()
-            )
-        except stored_suspects.MalformedSuspects as error:
-            LOG.warning(
-                "gateway: stored suspects not usable", error=str(error)
-            )
-            return
-        self._stored_suspects = stored_suspects.select(requests, parts)
-        self.state.suspicions.merge(requests)
-        self.state.part_suspicions.merge(parts)
-
-    async def _store_suspects(self) -> None:
-        """Store the refused requests and parts when they have changed."""
-        store_clock_ms = self.fleet.store_clock_ms()
-        if not self.placer.is_holder or store_clock_ms is None:
-            return
-        suspects = stored_suspects.select(
-            self.state.suspicions.refused(),
-            self.state.part_suspicions.refused(),
-        )
-        if suspects != self._stored_suspects:
-            row = stored_suspects.encode(suspects, store_clock_ms)
-            await self._table.commit({}, {SUSPECTS_KEY: row})
-
-    def _report_software(self, service: model.ServiceId) -> None:
-        """Tell peers and the store of a service's other software version."""
-        self.exchange.origins.report_all(service)
-        self._group.run_in_background(self._store_software())
-
-    async def _read_stored_versions(
-        self,
-    ) -> stream_origins.VersionsByService | None:
-        """Read the stored software versions, None if that fails."""
-        try:
-            async with asyncio.timeout(SOFTWARE_READ_TIMEOUT_S):
-                rows = await self._table.read_latest([SOFTWARE_KEY])
-            row = rows.get(SOFTWARE_KEY)
-            return (
-                {} if row is None else stream_origins.versions_of_row(row.body)
-            )
-        except (
-            tables.TableUnavailable,
-            TimeoutError,
-            ValueError,
-            TypeError,
-        ) as error:
-            LOG.warning("gateway: stored versions not read", error=repr(error))
-            return None
-
-    async def _store_software(self) -> None:
-        """Store the targets' software versions when they have changed."""
-        if not self.placer.is_holder or not self.fleet.is_reached:
-            return
-        versions = self.exchange.origins.versions_to_store()
-        if versions is not None:
-            row = stream_origins.encode_versions(versions)
-            await self._table.commit({}, {SOFTWARE_KEY: row})
-
-    async def _store_usage(self) -> None:
-        """Store the usage of teams near their limits, for later starts."""
-        configuration, now_ms = self.state.configuration, self.clock.now_ms()
-        store_clock_ms = self.fleet.store_clock_ms()
-        if not self.placer.is_holder or configuration is None:
-            return
-        if store_clock_ms is None:
-            return  # nothing has been read from the store yet
-        rates = self.state.rates
-        amounts_by_team = {
-            team.id: rates.profile(team.id, now_ms).amounts
-            for team in configuration.team_by_id.values()
-            if team.rate_per_s > 0
-            and rates.is_near_limit(
-                team.id, self.state.rate_limit(team), now_ms
-            )
-        }
-        if amounts_by_team or self._has_stored_usage:
-            row = usage.encode(amounts_by_team, store_clock_ms)
-            await self._table.commit({}, {USAGE_KEY: row})
-        self._has_stored_usage = bool(amounts_by_team)
-
     @property
     def _name(self) -> ids.InstanceId:
         return self.settings.instance
@@ -714,7 +601,7 @@
                 await self._table.commit({}, {}, [member_rows.PREFIX + member])
 
     def _note_answer(
-        self, record: target_registry.TargetRecord, answer: model.AnswerHead
+        self, record: target_records.TargetRecord, answer: model.AnswerHead
     ) -> None:
         """Record what the head of a target's answer says of the target."""
         self.exchange.limits.note_answer(record, answer)
@@ -725,6 +612,11 @@
         else:
             record.pause.note_answer(self.clock.now_ms())
 
+    def _report_software(self, service: model.ServiceId) -> None:
+        """Tell peers and the store of a service's other software version."""
+        self.exchange.origins.report_all(service)
+        self._group.run_in_background(self.stored_rows.store_software())
+
     # Exchange with peers.
 
     async def _find_origin(
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -16,7 +16,7 @@
 from cardamom_gateway import interfaces
 from cardamom_gateway import model
 from cardamom_gateway import sockets
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.attempts")
 
@@ -105,7 +105,7 @@
         self,
         codec: interfaces.MessageCodec,
         on_answer: typing.Callable[
-            [target_registry.TargetRecord, model.AnswerHead], None
+            [target_records.TargetRecord, model.AnswerHead], None
         ],
     ) -> None:
         self._codec = codec
@@ -117,7 +117,7 @@
 
     async def send(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         outgoing: OutgoingRequest,
         relay_address: str = "",
     ) -> aiohttp.ClientResponse:
@@ -154,7 +154,7 @@
 
     def note_head(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         response: aiohttp.ClientResponse,
     ) -> model.AnswerHead:
         """Decode the head of a target's answer, and record what it says."""
@@ -221,7 +221,7 @@
                 FailureKind.BROKEN, "the body has a content encoding"
             )
 
-    async def probe(self, record: target_registry.TargetRecord) -> bool:
+    async def probe(self, record: target_records.TargetRecord) -> bool:
         """Return whether a target accepts a new connection."""
         host, _, port = record.target.address.rpartition(":")
         try:
@@ -315,7 +315,7 @@
 
     def __init__(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         clock: clocks.Clock,
         prompt_tokens: int,
         fingerprint: str,
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -26,7 +26,7 @@
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import reachability
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.forward")
 
@@ -174,7 +174,7 @@
     async def _select_with_permit(
         self, call: admission.Call
     ) -> tuple[
-        target_registry.TargetRecord,
+        target_records.TargetRecord,
         dispatching.Choice,
         permit_client.Permit | None,
     ]:
@@ -209,7 +209,7 @@
     async def _try_target(
         self,
         call: admission.Call,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         choice: dispatching.Choice,
     ) -> web.StreamResponse:
         """Send a request to a target after the last checks.
@@ -265,7 +265,7 @@
     async def _note_failure(
         self,
         call: admission.Call,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         failure: attempts.AttemptFailed,
     ) -> None:
         state = self._state
@@ -303,7 +303,7 @@
         )
 
     async def _check_reach(
-        self, call: admission.Call, record: target_registry.TargetRecord
+        self, call: admission.Call, record: target_records.TargetRecord
     ) -> None:
         """Find out whether a target that wasn't connected is reached by peers.
 
@@ -339,7 +339,7 @@
     async def _attempt(
         self,
         call: admission.Call,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         choice: dispatching.Choice,
     ) -> web.StreamResponse:
         state, head = self._state, call.head
@@ -432,7 +432,7 @@
         )
 
     def _outgoing_request(
-        self, call: admission.Call, record: target_registry.TargetRecord
+        self, call: admission.Call, record: target_records.TargetRecord
     ) -> attempts.OutgoingRequest:
         request = call.request
         remaining_ms = call.deadline_ms - self._state.clock.now_ms()
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
@@ -16,7 +16,7 @@
 
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.relaying")
 
@@ -71,7 +71,7 @@
 
     def _record(
         self, request: web.BaseRequest
-    ) -> target_registry.TargetRecord | None:
+    ) -> target_records.TargetRecord | None:
         """Return the target of a request, None if it may not be used."""
         targets = self._state.targets
         target_id = ids.TargetId(request.headers.get(TARGET, ""))
@@ -127,7 +127,7 @@
 
 
 def outgoing_through_relay(
-    outgoing: attempts.OutgoingRequest, record: target_registry.TargetRecord
+    outgoing: attempts.OutgoingRequest, record: target_records.TargetRecord
 ) -> attempts.OutgoingRequest:
     """Return a request in the form that is sent to a relay."""
     headers = [
@@ -152,7 +152,7 @@
 
 def _abort(
     request: web.BaseRequest,
-    record: target_registry.TargetRecord,
+    record: target_records.TargetRecord,
     reason: str,
 ) -> web.StreamResponse:
     """Break the peer's connection, as the target broke its own."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -12,7 +12,7 @@
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
 from cardamom_gateway import state as state_module
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 # Longest wait for a model, as a fraction of the time to the deadline; it is
 # longer if the route's objective is.
@@ -68,7 +68,7 @@
 
     async def select(
         self, call: admission.Call
-    ) -> tuple[target_registry.TargetRecord, dispatching.Choice]:
+    ) -> tuple[target_records.TargetRecord, dispatching.Choice]:
         """Return the target for the next attempt, with its adapter loaded.
 
         Raises RequestRefused if there is none, or if it would answer too late.
@@ -121,7 +121,7 @@
 
     async def _targets_with_model(
         self, call: admission.Call, model_name: str
-    ) -> list[target_registry.TargetRecord]:
+    ) -> list[target_records.TargetRecord]:
         """Return the untried targets with a model, waiting for a load.
 
         Raises RequestRefused if the model would be loaded too late, or if no
@@ -180,7 +180,7 @@
 
     def _untried(
         self, call: admission.Call, model_name: str
-    ) -> list[target_registry.TargetRecord]:
+    ) -> list[target_records.TargetRecord]:
         records = self._state.targets.targets_with_model(
             call.service.id, model_name
         )
@@ -194,8 +194,8 @@
     def _with_software(
         self,
         call: admission.Call,
-        records: list[target_registry.TargetRecord],
-    ) -> list[target_registry.TargetRecord]:
+        records: list[target_records.TargetRecord],
+    ) -> list[target_records.TargetRecord]:
         """Return the targets that may begin or continue a call's stream."""
         if call.software_version is not None:
             return [
@@ -232,7 +232,7 @@
             outcomes.Code.NO_TARGET,
             message,
             outcomes.Step.ROUTE,
-            retry_after_ms=target_registry.FIRST_SUSPECT_MS,
+            retry_after_ms=target_records.FIRST_SUSPECT_MS,
         )
 
     def _model_wait_ms(self, call: admission.Call, model_name: str) -> float:
@@ -277,9 +277,9 @@
     def _choose_record(
         self,
         call: admission.Call,
-        records: list[target_registry.TargetRecord],
+        records: list[target_records.TargetRecord],
         prompt_tokens: int | None,
-    ) -> tuple[target_registry.TargetRecord, dispatching.Choice]:
+    ) -> tuple[target_records.TargetRecord, dispatching.Choice]:
         state = self._state
         candidates = state.targets.candidates(
             records, call.head, call.tried_targets, call.is_urgent
@@ -297,7 +297,7 @@
                 outcomes.Code.NO_TARGET,
                 f"{len(records)} targets, all of them tried",
                 outcomes.Step.ROUTE,
-                retry_after_ms=target_registry.FIRST_SUSPECT_MS,
+                retry_after_ms=target_records.FIRST_SUSPECT_MS,
             )
         excess_ms = self._excess_ms(call, choice.first_event_ms)
         if not call.may_have_run and excess_ms > 0:
@@ -311,7 +311,7 @@
         return state.targets.by_id[choice.id], choice
 
     def _refuse_if_all_wait(
-        self, call: admission.Call, records: list[target_registry.TargetRecord]
+        self, call: admission.Call, records: list[target_records.TargetRecord]
     ) -> None:
         """Raise MustWait if targets are left, but none takes requests."""
         now_ms = self._state.clock.now_ms()
@@ -325,7 +325,7 @@
         raise MustWait(len(waits_ms), min(waits_ms))
 
     async def _wait_for_adapter(
-        self, call: admission.Call, record: target_registry.TargetRecord
+        self, call: admission.Call, record: target_records.TargetRecord
     ) -> None:
         """Wait before another load of an adapter.
 
@@ -343,7 +343,7 @@
             f"adapter {head.adapter} of {head.model} could not be loaded",
             outcomes.Step.QUEUE,
             peer=record.target.id,
-            retry_after_ms=target_registry.FIRST_SUSPECT_MS,
+            retry_after_ms=target_records.FIRST_SUSPECT_MS,
         )
 
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -10,7 +10,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway.targets import target_limits
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 # Time without requests to a target after its owner gave no answer.
 NO_ANSWER_PAUSE_MS = 300
@@ -57,7 +57,7 @@
 
     async def acquire(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         is_urgent: bool,
         remaining_ms: float,
     ) -> Permit | None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
@@ -23,7 +23,7 @@
 from cardamom_gateway.fleet import peers
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.reachability")
 
@@ -118,7 +118,7 @@
         self._own_results = SharedResults(self._clock, group)
 
     async def is_reached_by_peers(
-        self, record: target_registry.TargetRecord
+        self, record: target_records.TargetRecord
     ) -> bool | None:
         """Return whether peers reach a target that this instance doesn't.
 
@@ -130,9 +130,7 @@
             record.target.incarnation, lambda: self._check(record)
         )
 
-    async def _check(
-        self, record: target_registry.TargetRecord
-    ) -> bool | None:
+    async def _check(self, record: target_records.TargetRecord) -> bool | None:
         target = record.target
         members = self._members_to_ask()
         if not self._link.member_by_id:
@@ -158,7 +156,7 @@
         return None
 
     async def _is_target_down(
-        self, record: target_registry.TargetRecord
+        self, record: target_records.TargetRecord
     ) -> bool:
         """Return whether this instance reaches other targets, but not this.
 
@@ -211,7 +209,7 @@
         return None if self._state.targets.is_cut_off else False
 
     async def determine_status(
-        self, record: target_registry.TargetRecord
+        self, record: target_records.TargetRecord
     ) -> TargetStatus:
         """Return whether a target that isn't reached from here is down.
 
@@ -230,7 +228,7 @@
                 return TargetStatus.UP
         return TargetStatus.UNKNOWN
 
-    async def _probe(self, record: target_registry.TargetRecord) -> bool:
+    async def _probe(self, record: target_records.TargetRecord) -> bool:
         return bool(
             await self._own_results.get(
                 record.target.incarnation, lambda: self._client.probe(record)
@@ -238,7 +236,7 @@
         )
 
     async def is_reached_soon(
-        self, record: target_registry.TargetRecord
+        self, record: target_records.TargetRecord
     ) -> bool:
         """Return whether peers are known to reach a target, without delay."""
         try:
@@ -249,14 +247,14 @@
 
     # What this instance reaches itself.
 
-    def on_unreached(self, record: target_registry.TargetRecord) -> None:
+    def on_unreached(self, record: target_records.TargetRecord) -> None:
         """Ask peers for a target that this instance can't reach."""
         self._group.run_in_background(self._run_check(record))
 
-    async def _run_check(self, record: target_registry.TargetRecord) -> None:
+    async def _run_check(self, record: target_records.TargetRecord) -> None:
         await self.is_reached_by_peers(record)
 
-    def _mark_relayed(self, record: target_registry.TargetRecord) -> None:
+    def _mark_relayed(self, record: target_records.TargetRecord) -> None:
         if record.is_relayed:
             return
         record.is_relayed = True
@@ -278,7 +276,7 @@
                 record.next_retry_ms = now_ms + RETRY_PERIOD_MS
                 self._group.run_in_background(self._try(record))
 
-    async def _try(self, record: target_registry.TargetRecord) -> None:
+    async def _try(self, record: target_records.TargetRecord) -> None:
         if not await self._probe(record):
             if not record.is_relayed:
                 record.record_connect_failure(self._clock.now_ms())
@@ -295,7 +293,7 @@
 
     def relay_for(
         self,
-        record: target_registry.TargetRecord,
+        record: target_records.TargetRecord,
         exclude: typing.Container[ids.InstanceId],
     ) -> peers.Member | None:
         """Return the peer to send a request through, None to send it directly.
@@ -332,7 +330,7 @@
         fresh = self._link.fresh_peers()
         return any(peer.member.id == member.id for peer in fresh)
 
-    def on_relay_failed(self, record: target_registry.TargetRecord) -> None:
+    def on_relay_failed(self, record: target_records.TargetRecord) -> None:
         """Record that peers don't reach a target any more."""
         record.is_relayed = False
         record.record_connect_failure(self._clock.now_ms())
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -25,6 +25,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
+from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.limits")
@@ -35,7 +36,7 @@
 BUCKET_RETENTION_MS = 60_000
 # Time after which there may be room again at a target.
 ROOM_WAIT_MS = 30
-NOTHING: target_registry.LimitValues = (None, None)
+NOTHING: target_records.LimitValues = (None, None)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,7 +101,7 @@
     # What targets state.
 
     def note_answer(
-        self, record: target_registry.TargetRecord, answer: model.AnswerHead
+        self, record: target_records.TargetRecord, answer: model.AnswerHead
     ) -> None:
         """Record what an answer of a target says of its limit."""
         if answer.malformed_limit is not None:
@@ -109,7 +110,7 @@
         stated, previous = _stated(answer), record.limit
         if previous is None and stated == NOTHING:
             return
-        record.limit = target_registry.StatedLimit(
+        record.limit = target_records.StatedLimit(
             *stated, self._clock.now_ms(), is_own=True
         )
         if previous is not None and previous.values == stated:
@@ -118,7 +119,7 @@
         self._link.broadcast(self._base_update() | {"t": self.export()})
 
     def _report_malformed(
-        self, record: target_registry.TargetRecord, value: str
+        self, record: target_records.TargetRecord, value: str
     ) -> None:
         if record.malformed_limit == value:
             return
@@ -128,7 +129,7 @@
         )
 
     def _log_change(
-        self, record: target_registry.TargetRecord, source: str
+        self, record: target_records.TargetRecord, source: str
     ) -> None:
         assert record.limit is not None
         LOG.info(
@@ -178,7 +179,7 @@
             previous = record.limit
             if previous is not None and previous.at_ms >= at_ms:
                 continue
-            record.limit = target_registry.StatedLimit(
+            record.limit = target_records.StatedLimit(
                 *stated, at_ms, is_own=False
             )
             if previous is None or previous.values != stated:
@@ -261,7 +262,7 @@
         return 1.0 if 2 * reached > known else reached / known
 
 
-def _stated(answer: model.AnswerHead) -> target_registry.LimitValues:
+def _stated(answer: model.AnswerHead) -> target_records.LimitValues:
     return answer.rate_limit_per_s, answer.tolerated_rejections
 
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -1,8 +1,6 @@
 """The targets known to this instance, and the load on them."""
 
 import asyncio
-import collections
-import dataclasses
 import typing
 
 import structlog
@@ -13,16 +11,11 @@
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
-from cardamom_gateway.targets import pauses
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.targets")
 
-FAILURE_WEIGHT = 0.2  # of one outcome in the moving average of failures
-FIRST_SUSPECT_MS = 400  # first pause after a failure to reach a target
-MAX_SUSPECT_MS = 3_000  # longest pause; an entry expires about as fast
 RETURN_GRACE_MS = 1_900  # entries that expired in an outage return in it
-MAX_HOLDINGS_AGE_MS = 5_000  # older holdings from the lease holder are ignored
-MAX_PEER_LOAD_AGE_MS = 1_500  # a peer's older load is not counted
 # An entry that calls a target ready counts again so long after an answer in
 # which the target said that it leaves; most have ended by then.
 STATED_LEAVING_MS = 30_000
@@ -32,226 +25,6 @@
 REMOVED_RETENTION_MS = 60_000
 
 
-@dataclasses.dataclass
-class Load:
-    """Requests of this instance at one target."""
-
-    running: int = 0
-    prefill_tokens: float = 0.0
-    by_model_and_adapter: collections.Counter[model.ModelAndAdapter] = (
-        dataclasses.field(default_factory=collections.Counter)
-    )
-
-    def in_use(self) -> dict[model.ModelAndAdapter, int]:
-        """Return the number of running requests by model and adapter."""
-        return {
-            r: n for r, n in self.by_model_and_adapter.items() if n and r[0]
-        }
-
-
-@dataclasses.dataclass(frozen=True)
-class PeerLoad:
-    """Requests of another instance at one target."""
-
-    at_ms: int
-    running: int
-    prefill_tokens: float
-    by_model_and_adapter: typing.Mapping[model.ModelAndAdapter, int]
-
-
-LimitValues = tuple[float | None, int | None]
-
-
-@dataclasses.dataclass(frozen=True)
-class StatedLimit:
-    """What a target stated of its limits on requests, at a time.
-
-    ``rate_per_s`` is the limit for all instances together, and
-    ``tolerated_rejections`` how many requests a second it may reject for want
-    of room without failing; None stands for no limit.  ``is_own`` is whether
-    an answer to this instance said so, not a peer.
-    """
-
-    rate_per_s: float | None
-    tolerated_rejections: int | None
-    at_ms: int
-    is_own: bool
-
-    @property
-    def values(self) -> LimitValues:
-        """Return the limits, without their source."""
-        return self.rate_per_s, self.tolerated_rejections
-
-    @property
-    def is_stated(self) -> bool:
-        """Return whether there is any limit."""
-        return self.values != (None, None)
-
-
-class TargetRecord:
-    """One target with its load, its failures and its holdings.
-
-    ``failure_ratio`` is a moving average from 0 to 1.  ``expired_ms`` is set
-    while the entry is missing after an outage of the store, and
-    ``leaving_at_write`` while a peer has reported that the target is leaving.
-    ``stated_leaving_ms`` is when the target last said so in an answer.
-    ``limit`` is set once the target has stated one.  ``is_relayed`` is whether
-    only peers reach it, so that requests go through them; ``next_retry_ms`` is
-    then when to connect from here again.  ``unreached_since_ms`` is when the
-    first of the latest probes began, all of which failed.
-    """
-
-    def __init__(self, target: model.Target, cache_tokens: int) -> None:
-        self.target = target
-        self.load = Load()
-        self.load_by_peer: dict[str, PeerLoad] = {}
-        self.holdings: holdings_module.Holdings | None = None
-        self.holdings_ms: int = clocks.NEVER_MS
-        self.load_end_ms: int = clocks.NEVER_MS
-        self.prefix_cache = dispatching.PrefixCacheEstimate(cache_tokens)
-        self.failure_ratio = 0.0
-        self.suspect_until_ms: int = clocks.NEVER_MS
-        self.suspect_ms = FIRST_SUSPECT_MS
-        self.is_relayed = False
-        self.next_retry_ms: int = clocks.NEVER_MS
-        self.last_answer_ms: int = clocks.NEVER_MS
-        self.unreached_since_ms: int = clocks.FOREVER_MS
-        self.expired_ms: int | None = None
-        self.leaving_at_write: int | None = None
-        self.stated_leaving_ms: int | None = None
-        self.attempts: set[typing.Any] = set()
-        self.limit: StatedLimit | None = None
-        self.malformed_limit = ""
-        self.pause = pauses.Pause()
-        self._no_permit_until_ms: dict[bool, int] = {}
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether the target may get new requests."""
-        return (
-            self.target.state is model.TargetState.READY
-            and self.leaving_at_write is None
-            and self.stated_leaving_ms is None
-        )
-
-    @property
-    def is_limited(self) -> bool:
-        """Return whether requests to the target need a permit."""
-        return self.limit is not None and self.limit.is_stated
-
-    def pause_permits(self, until_ms: int, is_urgent: bool) -> None:
-        """Record that there is no permit for a kind of request before."""
-        self._no_permit_until_ms[is_urgent] = until_ms
-
-    def permit_wait_ms(self, is_urgent: bool, now_ms: int) -> int:
-        """Return the ms until there may be a permit for a request."""
-        if not self.is_limited:
-            return 0
-        until_ms = self._no_permit_until_ms.get(is_urgent, now_ms)
-        return max(0, until_ms - now_ms)
-
-    def wait_ms(self, is_urgent: bool, now_ms: int) -> int:
-        """Return the ms until the target may take a request."""
-        return max(
-            self.permit_wait_ms(is_urgent, now_ms), self.pause_wait_ms(now_ms)
-        )
-
-    def pause_wait_ms(self, now_ms: int) -> int:
-        """Return the ms until the end of a stated pause, 0 without one."""
-        return self.pause.wait_ms(
-            now_ms, (attempt.started_ms for attempt in self.attempts)
-        )
-
-    def residents(self, now_ms: int) -> frozenset[model.ModelAndAdapter]:
-        """Return the resident models and adapters.
-
-        Fresh holdings from the lease holder take precedence, because engine
-        entries are written later and leave adapters out.
-        """
-        holdings = self._fresh_holdings(now_ms)
-        return (
-            self.target.residents if holdings is None else (holdings.residents)
-        )
-
-    def _fresh_holdings(self, now_ms: int) -> holdings_module.Holdings | None:
-        holdings = self.holdings
-        if (
-            holdings is None
-            or holdings.started_ms != self.target.started_ms
-            or now_ms - self.holdings_ms > MAX_HOLDINGS_AGE_MS
-        ):
-            return None
-        return holdings
-
-    def is_moving(self, now_ms: int) -> bool:
-        """Return whether the engine loads or unloads a model."""
-        holdings = self._fresh_holdings(now_ms)
-        return holdings is not None and holdings.is_moving
-
-    def adapter_ms(self, head: model.RequestHead, now_ms: int) -> float:
-        """Return the time until a request's adapter is loaded, 0 if it is."""
-        if not head.adapter or head.model_and_adapter in self.residents(
-            now_ms
-        ):
-            return 0.0
-        wait_ms = 0.0
-        if self.is_moving(now_ms):
-            wait_ms = max(dispatching.UNLOAD_MS, self.load_end_ms - now_ms)
-        return wait_ms + dispatching.ADAPTER_LOAD_MS
-
-    def running(self, now_ms: int) -> int:
-        """Return the number of running requests of all instances.
-
-        Peers whose load is not fresh are left out.
-        """
-        return self.load.running + sum(
-            load.running for load in self._peer_loads(now_ms)
-        )
-
-    def prefill_tokens(self, now_ms: int) -> float:
-        """Return the prompt tokens still to be processed at the target."""
-        return self.load.prefill_tokens + sum(
-            load.prefill_tokens for load in self._peer_loads(now_ms)
-        )
-
-    def in_use(
-        self, now_ms: int
-    ) -> collections.Counter[model.ModelAndAdapter]:
-        """Return the running requests of all instances by resident."""
-        running = collections.Counter(self.load.in_use())
-        for load in self._peer_loads(now_ms):
-            running.update(load.by_model_and_adapter)
-        return running
-
-    def _peer_loads(self, now_ms: int) -> typing.Iterator[PeerLoad]:
-        return (
-            load
-            for load in self.load_by_peer.values()
-            if now_ms - load.at_ms <= MAX_PEER_LOAD_AGE_MS
-        )
-
-    def note_outcome(self, has_failed: bool) -> None:
-        """Add the outcome of one request to the failure average."""
-        outcome = 1.0 if has_failed else 0.0
-        self.failure_ratio += FAILURE_WEIGHT * (outcome - self.failure_ratio)
-
-    def record_connect_success(self, now_ms: int) -> None:
-        """Record an answer, which ends any pause."""
-        self.last_answer_ms = now_ms
-        self.suspect_until_ms = clocks.NEVER_MS
-        self.suspect_ms = FIRST_SUSPECT_MS
-
-    def record_connect_failure(self, now_ms: int) -> None:
-        """Pause the use of an unreachable target.
-
-        The pause doubles with each failure, up to MAX_SUSPECT_MS.
-        """
-        if now_ms < self.suspect_until_ms:
-            return
-        self.suspect_until_ms = now_ms + self.suspect_ms
-        self.suspect_ms = min(MAX_SUSPECT_MS, self.suspect_ms * 2)
-
-
 def _do_nothing(target: model.Target) -> None:
     """Serve as default for ``on_leaving``."""
 
@@ -273,7 +46,7 @@
     ) -> None:
         self._clock = clock
         self._data_centre = data_centre
-        self.by_id: dict[ids.TargetId, TargetRecord] = {}
+        self.by_id: dict[ids.TargetId, target_records.TargetRecord] = {}
         self.cache_tokens_by_service: dict[model.ServiceId, int] = {}
         self._changed = asyncio.Event()
         self.on_leaving: typing.Callable[[model.Target], None] = _do_nothing
@@ -303,7 +76,7 @@
             or record.target.address != target.address
         ):
             cache_tokens = self.cache_tokens_by_service.get(target.service, 0)
-            record = TargetRecord(target, cache_tokens)
+            record = target_records.TargetRecord(target, cache_tokens)
             self.by_id[target.id] = record
             LOG.info(
                 "targets: found",
@@ -338,7 +111,7 @@
         self.notify()
 
     def _serves_again(
-        self, record: TargetRecord, target: model.Target
+        self, record: target_records.TargetRecord, target: model.Target
     ) -> bool:
         """Return whether an entry overrides that a target said it leaves."""
         return (
@@ -349,7 +122,7 @@
             >= STATED_LEAVING_MS
         )
 
-    def note_stated_leaving(self, record: TargetRecord) -> None:
+    def note_stated_leaving(self, record: target_records.TargetRecord) -> None:
         """Record that a target has said in an answer that it leaves.
 
         It gets no new requests then until it starts again, whatever its entry
@@ -403,7 +176,7 @@
             and target.entry_sequence <= removed.entry_sequence
         )
 
-    def has_ended_unplanned(self, record: TargetRecord) -> bool:
+    def has_ended_unplanned(self, record: target_records.TargetRecord) -> bool:
         """Return whether a target is gone without having said it would be.
 
         Another start of it may have taken its place.
@@ -435,7 +208,7 @@
                 self._delete(record)
                 LOG.info("targets: gone after an outage", target=target_id)
 
-    def _delete(self, record: TargetRecord) -> None:
+    def _delete(self, record: target_records.TargetRecord) -> None:
         self._note_software(record.target)
         del self.by_id[record.target.id]
 
@@ -503,7 +276,7 @@
     def note_peer_load(
         self,
         peer: str,
-        load_by_target: typing.Mapping[str, PeerLoad],
+        load_by_target: typing.Mapping[str, target_records.PeerLoad],
     ) -> None:
         """Record a peer's load on all targets, replacing the earlier one."""
         for target_id in self._loaded_by_peer.pop(peer, ()):
@@ -522,7 +295,9 @@
         if loaded:
             self._loaded_by_peer[peer] = loaded
 
-    def of_service(self, service: model.ServiceId) -> list[TargetRecord]:
+    def of_service(
+        self, service: model.ServiceId
+    ) -> list[target_records.TargetRecord]:
         """Return the targets of a service that may get new requests.
 
         Targets whose entry expired in an outage are returned only if there is
@@ -535,17 +310,19 @@
         ]
         return [r for r in ready if r.expired_ms is None] or ready
 
-    def is_in_use(self, record: TargetRecord) -> bool:
+    def is_in_use(self, record: target_records.TargetRecord) -> bool:
         """Return whether a record is current and may get new requests."""
         return self.by_id.get(record.target.id) is record and record.is_usable
 
-    def accepts(self, record: TargetRecord) -> bool:
+    def accepts(self, record: target_records.TargetRecord) -> bool:
         """Return whether a record is in use, and has stated no pause."""
         return self.is_in_use(record) and not record.pause_wait_ms(
             self._clock.now_ms()
         )
 
-    def pause(self, record: TargetRecord, stated_ms: int) -> None:
+    def pause(
+        self, record: target_records.TargetRecord, stated_ms: int
+    ) -> None:
         """Record for how long a target wants no requests from here."""
         if record.pause.begin(self._clock.now_ms(), stated_ms):
             LOG.info(
@@ -572,13 +349,13 @@
         record.leaving_at_write = entry_sequence
         LOG.info("targets: leaving, by a peer", target=target_id)
 
-    def _report_leaving(self, record: TargetRecord) -> None:
+    def _report_leaving(self, record: target_records.TargetRecord) -> None:
         if record.target.state is model.TargetState.READY:
             self.on_leaving(record.target)
 
     def targets_with_model(
         self, service: model.ServiceId, resident: str
-    ) -> list[TargetRecord]:
+    ) -> list[target_records.TargetRecord]:
         """Return the usable targets of a service that hold a model."""
         now_ms = self._clock.now_ms()
         return [
@@ -606,7 +383,7 @@
 
     def candidates(
         self,
-        records: typing.Iterable[TargetRecord],
+        records: typing.Iterable[target_records.TargetRecord],
         head: model.RequestHead,
         exclude: typing.Container[ids.TargetId],
         is_urgent: bool,
@@ -642,7 +419,7 @@
             for record in trusted or usable
         ]
 
-    def relayed(self) -> list[TargetRecord]:
+    def relayed(self) -> list[target_records.TargetRecord]:
         """Return the targets that only peers reach."""
         return [r for r in self.by_id.values() if r.is_relayed]
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_watch.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_watch.py
@@ -10,7 +10,7 @@
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import reachability
-from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway")
 
@@ -62,9 +62,7 @@
         self._state.requests.drop_stale_peers(now_ms)
         self._state.retries.drop_stale_peers(now_ms)
 
-    async def _probe_silent(
-        self, record: target_registry.TargetRecord
-    ) -> None:
+    async def _probe_silent(self, record: target_records.TargetRecord) -> None:
         """Give up a target's requests if it does not answer probes.
 
         A target that peers reach is not silent: the link from here is broken,
@@ -103,7 +101,7 @@
             attempt.give_up()
 
     def _give_up_silent_relays(
-        self, record: target_registry.TargetRecord
+        self, record: target_records.TargetRecord
     ) -> None:
         """Give up requests whose relay is no longer heard of."""
         for attempt in list(record.attempts):
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -10,6 +10,7 @@
 from cardamom_gateway import model
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import target_limits
+from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
@@ -55,7 +56,7 @@
         self.limits_by_id: dict[
             ids.InstanceId, target_limits.TargetLimits
         ] = {}
-        self.records: list[target_registry.TargetRecord] = []
+        self.records: list[target_records.TargetRecord] = []
         self.clients: list[permit_client.PermitClient] = []
         self.all_limits: list[target_limits.TargetLimits] = []
         self.ids: list[ids.InstanceId] = []
--- a/tests/gateway/test_target_registry.py
+++ b/tests/gateway/test_target_registry.py
@@ -4,6 +4,7 @@
 
 from cardamom_gateway.engines import holdings
 from cardamom_gateway import model
+from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
@@ -122,7 +123,7 @@
         setup.targets.note_holdings(ENTRY.id, known)
         assert not setup.targets.targets_with_model(SERVICE, "m1")
         assert setup.targets.targets_with_model(SERVICE, "m2")
-        setup.clock.step(target_registry.MAX_HOLDINGS_AGE_MS + 1)
+        setup.clock.step(target_records.MAX_HOLDINGS_AGE_MS + 1)
         assert setup.targets.targets_with_model(SERVICE, "m1")
 
 
--- a/tests/wire/test_crashing_parts.py
+++ b/tests/wire/test_crashing_parts.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 import pytest
 
-from cardamom_gateway import gateway as gateway_module
+from cardamom_gateway.fleet import stored_rows
 from cardamom_kernel import trait_suspicion
 from tests.wire import scenarios
 from tests.wire import standins
@@ -162,7 +162,7 @@
             deployment.gateways[0].exchange.suspect_parts.note_crash(BAD_PART)
             await standins.wait_until(
                 lambda: any(
-                    key == gateway_module.SUSPECTS_KEY
+                    key == stored_rows.SUSPECTS_KEY
                     for _, key in deployment.store.row_by_name
                 )
             )
--- a/tests/wire/test_earlier_builds.py
+++ b/tests/wire/test_earlier_builds.py
@@ -15,6 +15,7 @@
 
 from cardamom_gateway.fleet import member_rows
 from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import stored_rows
 from cardamom_gateway.fleet import usage
 from cardamom_gateway import gateway as gateway_module
 from cardamom_gateway.requests import stream_origins
@@ -82,10 +83,10 @@
                 row = orjson.dumps(orjson.loads(raw) | UNKNOWN)
                 assert member_rows.decode("frontend-0", row).port
         versions = stream_origins.decode_versions(
-            raw_by_key[gateway_module.SOFTWARE_KEY]
+            raw_by_key[stored_rows.SOFTWARE_KEY]
         )
         assert any("v1" in known for known in versions.values())
-        usage_row = raw_by_key[gateway_module.USAGE_KEY]
+        usage_row = raw_by_key[stored_rows.USAGE_KEY]
         assert usage.decode(usage_row, 10**9)
         lease = orjson.loads(raw_by_key["cardamomway-leases/lease/orders"])
         assert lease["number"] >= 1 and lease["holder"]
--- a/tests/wire/test_store_outages.py
+++ b/tests/wire/test_store_outages.py
@@ -8,6 +8,7 @@
 
 from cardamom_gateway.engines import order_lease
 from cardamom_gateway.fleet import member_rows
+from cardamom_gateway.fleet import stored_rows
 from cardamom_gateway import gateway as gateway_module
 from cardamom_gateway import interfaces
 from cardamom_gateway.targets import target_registry
@@ -157,7 +158,7 @@
             names = {
                 (FLEET_TABLE, member_rows.PREFIX + g._name)
                 for g in deployment.gateways
-            } | {(FLEET_TABLE, gateway_module.SOFTWARE_KEY)}
+            } | {(FLEET_TABLE, stored_rows.SOFTWARE_KEY)}
             await standins.wait_until(lambda: names <= set(store.row_by_name))
             store.return_from_copy(len(store.written) - 1)
             assert not names & set(store.row_by_name)
--- a/tests/wire/test_suspects.py
+++ b/tests/wire/test_suspects.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cardamom_gateway.fleet import peers
+from cardamom_gateway.fleet import stored_rows
 from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
 from tests.wire import standins
@@ -71,7 +72,7 @@
             await crash_until_refused(deployment, session)
             await standins.wait_until(
                 lambda: any(
-                    key == gateway_module.SUSPECTS_KEY
+                    key == stored_rows.SUSPECTS_KEY
                     for _, key in store.row_by_name
                 )
             )
