--- a/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/interfaces.py
@@ -247,6 +247,15 @@
     def configuration_key(self) -> str:
         """Return the key of the configuration's row in its topic."""
 
+    @property
+    @abc.abstractmethod
+    def evacuation_prefix(self) -> str:
+        """Return the start of the keys of the evacuations' rows.
+
+        The rest of a key names the data centre; the rows are in the
+        configuration's topic.
+        """
+
     @property
     @abc.abstractmethod
     def readiness_path(self) -> str:
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -13,7 +13,10 @@
 
 ServiceId = typing.NewType("ServiceId", str)
 PartId = typing.NewType("PartId", str)
+RegionId = typing.NewType("RegionId", str)
 ModelAndAdapter = tuple[str, str]
+# Homes of a route or a team that may be served anywhere.
+ANY_REGION: frozenset[RegionId] = frozenset()
 NO_TIMEOUT_MS = 1 << 40
 
 
@@ -43,7 +46,8 @@
     two events of a stream, 0 for none.  ``event_timeout_ms`` is how long
     callers wait for an event of a stream, also for the first one, before they
     disconnect.  ``allows_unknown_keys`` admits requests without a known API
-    key.
+    key.  ``homes`` are the regions whose targets may run the requests,
+    ANY_REGION for all.
     """
 
     id: ids.RouteId
@@ -59,6 +63,7 @@
     is_resumable: bool
     event_interval_objective_ms: int = 0
     event_timeout_ms: int = NO_TIMEOUT_MS
+    homes: frozenset[RegionId] = ANY_REGION
 
     @property
     def is_retryable(self) -> bool:
@@ -103,11 +108,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A group of replicas that run the same software."""
+    """A group of replicas that run the same software.
+
+    A replica is cold for ``cold_start_ms`` after its start, and then bears
+    only ``cold_rate_per_s`` requests a second from all instances together; 0
+    stands for replicas that are never cold.
+    """
 
     id: ServiceId
     connection_limit: int
     engine: EngineSpec | None = None
+    cold_start_ms: int = 0
+    cold_rate_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,7 +129,8 @@
     The rate and the burst are in tokens if ``counts_tokens``, else in
     requests; a rate of 0 means no limit.  ``default_request_tokens`` is the
     cost of a request that does not state its tokens.  ``priority`` None means
-    that the route's priority applies.
+    that the route's priority applies.  ``homes`` are as those of a route;
+    where both have homes, both bind.
     """
 
     id: ids.TeamId
@@ -127,6 +140,7 @@
     burst: float
     counts_tokens: bool
     default_request_tokens: float
+    homes: frozenset[RegionId] = ANY_REGION
 
 
 @dataclasses.dataclass(frozen=True)
@@ -185,6 +199,7 @@
     written since.  ``residents`` are the loaded models and adapters, each
     adapter with its model.  ``software_version`` is that of the replica's
     software, not of the weights; a stream can't go on at another one.
+    ``warmup_ms`` is how much longer it stays cold, as of the entry.
     """
 
     id: ids.TargetId
@@ -199,6 +214,7 @@
     in_host_memory: frozenset[str]
     on_disk: frozenset[str]
     software_version: str = ""
+    warmup_ms: int = 0
 
     @property
     def incarnation(self) -> str:
@@ -273,7 +289,8 @@
     that number.  ``malformed_limit`` is the value of either that can't be
     used.  ``is_leaving`` is whether the target says that it leaves.
     A target that rejects a request may state with ``retry_after_ms`` for how
-    long it wants no others from this instance.
+    long it wants no others from this instance.  ``warmup_ms`` is how
+    much longer the target stays cold, None if it says nothing of that.
     """
 
     attempt: str
@@ -285,3 +302,4 @@
     malformed_limit: str | None = None
     is_leaving: bool = False
     retry_after_ms: int | None = None
+    warmup_ms: int | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/settings.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/settings.py
@@ -54,6 +54,10 @@
     so that the store's rows can't be missing any earlier ones.  The others
     are the limits of the retry budget (``retry_``), of the teams' rates
     (``rate_``) and of loads (``load_``), with their sliding windows.
+    ``region_by_data_centre`` has the region of each data centre.  A cold
+    target may get ``cold_overage`` times its rate and ``cold_tolerance`` more
+    requests within a second.  ``evacuation_ms`` is the time from the
+    acknowledgement of an evacuation until nothing more may reach its targets.
     """
 
     instance: ids.InstanceId
@@ -75,6 +79,12 @@
     load_window_ms: int
     load_overage: float
     is_first_start: bool = False
+    region_by_data_centre: typing.Mapping[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+    cold_overage: float = 1.0
+    cold_tolerance: float = 0.0
+    evacuation_ms: int = 5_000
 
 
 def find_errors(settings: GatewaySettings) -> typing.Iterator[str]:
@@ -85,10 +95,17 @@
         "retry_window_ms",
         "rate_window_ms",
         "load_window_ms",
+        "evacuation_ms",
     ):
         if getattr(settings, field) <= 0:
             yield f"{field}: {getattr(settings, field)} must be above 0"
-    for field in ("retry_ratio", "retry_slack", "rate_overage"):
+    for field in (
+        "retry_ratio",
+        "retry_slack",
+        "rate_overage",
+        "cold_overage",
+        "cold_tolerance",
+    ):
         if getattr(settings, field) < 0:
             yield f"{field}: {getattr(settings, field)} must be 0 or above"
     if not settings.instance:
