Keep connections to targets as long as they state, and share new ones

Cause: on one deployment 17,482 new connections served 13,549 requests, its largest price. Change: the idle time follows what targets state; a request that may not run twice still gets a new connection, which later requests may use; two idle connections are kept for each target, the one used last goes first.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one target."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import typing
@@ -24,6 +25,9 @@
 CONNECT_TIMEOUT_S = 0.35
 # Idle time of connections until a target states how long it keeps them.
 DEFAULT_IDLE_MS = 3_000
+# Idle connections that are kept to each target.  A target bounds those of all
+# instances together.
+MAX_IDLE_PER_TARGET = 2
 # Connections aren't reused this shortly before the target closes them.
 IDLE_MARGIN_MS = 600
 # A running target accepts a connection within a few ms.
@@ -97,8 +101,8 @@
 
     A request that may not run twice gets a new connection: a pooled one might
     be closed by the target at that moment, and it would then be unknown
-    whether the request ran.  ``on_answer`` is called with the head of each
-    answer, also of a rejection.
+    whether the request ran.  Others may use that connection after it.
+    ``on_answer`` is called with the head of each answer, also of a rejection.
     """
 
     def __init__(
@@ -110,10 +114,9 @@
     ) -> None:
         self._codec = codec
         self._on_answer = on_answer
-        self._idle_ms = DEFAULT_IDLE_MS
-        self._keepalive_session: aiohttp.ClientSession | None = None
-        self._single_use_session: aiohttp.ClientSession | None = None
-        self._retired_sessions: list[aiohttp.ClientSession] = []
+        self._stated_idle_ms: int | None = None
+        self._open_connector: connectors.CleanConnector | None = None
+        self._open_session: aiohttp.ClientSession | None = None
 
     async def send(
         self,
@@ -172,18 +175,23 @@
 
         Raises AttemptFailed without an answer.
         """
-        session = self._session(outgoing.needs_new_connection)
         url = yarl.URL(f"http://{address}{outgoing.raw_path}", encoded=True)
+        connection_scope = (
+            connectors.new_connection()
+            if outgoing.needs_new_connection
+            else contextlib.nullcontext()
+        )
         try:
-            return await session.request(
-                outgoing.method,
-                url,
-                headers=outgoing.headers,
-                data=outgoing.body or None,
-                skip_auto_headers=SKIPPED_AUTO_HEADERS,
-                allow_redirects=False,
-                trace_request_ctx=outgoing,
-            )
+            with connection_scope:
+                return await self._session.request(
+                    outgoing.method,
+                    url,
+                    headers=outgoing.headers,
+                    data=outgoing.body or None,
+                    skip_auto_headers=SKIPPED_AUTO_HEADERS,
+                    allow_redirects=False,
+                    trace_request_ctx=outgoing,
+                )
         except CONNECT_ERRORS as error:
             raise AttemptFailed(
                 FailureKind.NOT_CONNECTED, repr(error)
@@ -234,46 +242,43 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        for session in (
-            self._keepalive_session,
-            self._single_use_session,
-            *self._retired_sessions,
-        ):
-            if session is not None:
-                await session.close()
-
-    def _session(self, needs_new_connection: bool) -> aiohttp.ClientSession:
-        if needs_new_connection:
-            if self._single_use_session is None:
-                self._single_use_session = self._open_session(force_close=True)
-            return self._single_use_session
-        if self._keepalive_session is None:
-            self._keepalive_session = self._open_session(
-                keepalive_timeout=max(
-                    0.1, (self._idle_ms - IDLE_MARGIN_MS) / 1000
-                )
-            )
-        return self._keepalive_session
+        if self._open_session is not None:
+            await self._open_session.close()
 
     def _note_keep_alive(self, keep_alive_ms: int) -> None:
         """Limit the idle time of connections to the shortest stated time."""
-        if keep_alive_ms >= self._idle_ms:
+        if (
+            self._stated_idle_ms is not None
+            and keep_alive_ms >= self._stated_idle_ms
+        ):
             return
         LOG.info("attempts: idle time", keep_alive_ms=keep_alive_ms)
-        self._idle_ms = keep_alive_ms
-        if self._keepalive_session is not None:
-            self._retired_sessions.append(self._keepalive_session)
-            self._keepalive_session = None
-
-    def _open_session(
-        self, **connector_options: typing.Any
-    ) -> aiohttp.ClientSession:
+        self._stated_idle_ms = keep_alive_ms
+        if self._open_connector is not None:
+            self._open_connector.set_idle_timeout(self._idle_timeout_s)
+
+    @property
+    def _idle_timeout_s(self) -> float:
+        idle_ms = self._stated_idle_ms
+        if idle_ms is None:
+            idle_ms = DEFAULT_IDLE_MS
+        return max(0.1, (idle_ms - IDLE_MARGIN_MS) / 1000)
+
+    @property
+    def _session(self) -> aiohttp.ClientSession:
+        if self._open_session is None:
+            self._open_session = self._create_session()
+        return self._open_session
+
+    def _create_session(self) -> aiohttp.ClientSession:
+        self._open_connector = connectors.CleanConnector(
+            max_idle=MAX_IDLE_PER_TARGET,
+            limit=0,
+            socket_factory=sockets.open_target_socket,
+            keepalive_timeout=self._idle_timeout_s,
+        )
         session = aiohttp.ClientSession(
-            connector=connectors.CleanConnector(
-                limit=0,
-                socket_factory=sockets.open_target_socket,
-                **connector_options,
-            ),
+            connector=self._open_connector,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_S
             ),
