Keep requests away from evacuated data centres

Cause: the operator's rows evacuate/ZONE were read and ignored, so targets of an evacuated data centre went on getting requests, orders and reports.

Change: instances apply the rows of the configuration's topic. Targets of an evacuated data centre are left out of choice, retries, resumed streams, relays, permits, placement, orders and periodic connections. At the end the targets count as cold. State updates name the version of the latest such row once there was one, since a data centre cut off from the store didn't ask peers for it.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
@@ -104,6 +104,8 @@
         for _ in range(MAX_RESENDS):
             if not self._term.may_order_to(target.id):
                 raise OrderFailed("orders are not allowed now")
+            if self._state.targets.is_evacuated(target):
+                raise OrderFailed("the data centre is evacuated")
             self._term.note_order(target.id)
             order = interfaces.Order(
                 kind=kind,
@@ -169,6 +171,9 @@
                 or current.target.started_ms != engine_state.started_ms
             ):
                 return
+            if self._state.targets.is_evacuated(target):
+                await self._state.targets.wait_for_change(REPORT_AGE_MS)
+                continue
             report = await self._engines.report(current.target)
             if report is not None and report.is_leaving:
                 self._state.targets.note_stated_leaving(current)
@@ -233,7 +238,7 @@
             ):
                 self._record_result(engine_state, entry, spec.name, is_load)
                 return
-            if now_ms < report_ms:
+            if now_ms < report_ms or state.targets.is_evacuated(entry):
                 continue
             report_ms = now_ms + (REPORT_AGE_MS if is_load else UNLOAD_POLL_MS)
             report = await self._engines.report(record.target)
--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
@@ -153,6 +153,8 @@
         engine_state = self._engine_state_by_id.get(target_id)
         if record is None or engine_state is None:
             return False
+        if self._state.targets.is_evacuated(record.target):
+            return False
         model_and_adapter = (name, adapter)
         if model_and_adapter in engine_state.residents:
             return True
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -24,6 +24,7 @@
 from cardamom_gateway.fleet import peers
 from cardamom_gateway.fleet import stored_rows
 from cardamom_gateway import interfaces
+from cardamom_gateway.locations import evacuation_rows
 from cardamom_gateway import model
 from cardamom_gateway.requests import attempts
 from cardamom_gateway.requests import forwarding
@@ -130,6 +131,9 @@
             ),
             lambda: self.exchange.origins,
         )
+        self.evacuation_rows = evacuation_rows.EvacuationRows(
+            state, self._platform.evacuation_prefix
+        )
         self.delay_monitor = delays.DelayMonitor(self.clock, state.metrics)
         self.exchange = exchange.Exchange(
             state,
@@ -340,6 +344,9 @@
         start_periodic(
             "reachability", WATCH_PERIOD_MS, self.reachability.retry_targets
         )
+        start_periodic(
+            "evacuations", WATCH_PERIOD_MS, self.evacuation_rows.check
+        )
         start_periodic("catch-up", CATCH_UP_CHECK_PERIOD_MS, self._catch_up)
         start_periodic(
             "store watch", store_watch.CHECK_PERIOD_MS, self.store_watch.check
@@ -438,6 +445,9 @@
     def _apply_configuration_changes(
         self, changes: interfaces.Changes, is_full: bool
     ) -> None:
+        self.evacuation_rows.apply(
+            changes, is_full, self.configurations.current_ms
+        )
         for change in changes.changes:
             if (
                 change.key == self._platform.configuration_key
@@ -486,6 +496,7 @@
         if is_full:
             present = {ids.TargetId(change.key) for change in changes.changes}
             registry.remove_absent(present, reachable_since_ms)
+        self.evacuation_rows.note_cold()
 
     def _apply_target(
         self,
@@ -628,11 +639,15 @@
 
     def _versions(self) -> dict[str, int]:
         configuration = self.state.configuration
-        return {
+        versions = {
             "cv": configuration.version if configuration else 0,
             "tv": self.targets.last_change.number,
             "te": self.targets.last_change.era,
         }
+        evacuation = self.evacuation_rows.last_change
+        if evacuation.number:
+            versions |= {"ee": evacuation.era, "ev": evacuation.number}
+        return versions
 
     async def _load_adapter_here(
         self, target_id: ids.TargetId, name: str, adapter: str
@@ -670,12 +685,25 @@
 
     async def _catch_up(self) -> None:
         """Get configuration and targets from a peer if this one lags."""
-        now_ms = self.clock.now_ms()
-        for keys, follower, lag_ms in (
-            (("cv",), self.configurations, CONFIGURATION_LAG_MS),
-            (("te", "tv"), self.targets, TARGETS_LAG_MS),
+        now_ms, own = self.clock.now_ms(), self._versions()
+        # The rows that are known here are complete up to this version.
+        configurations = self.configurations.version
+        for keys, known, follower, lag_ms in (
+            (("cv",), [own["cv"]], self.configurations, CONFIGURATION_LAG_MS),
+            (
+                ("ee", "ev"),
+                [configurations.era, configurations.number],
+                self.configurations,
+                CONFIGURATION_LAG_MS,
+            ),
+            (
+                ("te", "tv"),
+                [own["te"], own["tv"]],
+                self.targets,
+                TARGETS_LAG_MS,
+            ),
         ):
-            ahead = self._peers_ahead(keys, follower, lag_ms)
+            ahead = self._peers_ahead(keys, known, follower, lag_ms)
             due_ms = self._next_catch_up_ms.get(follower.topic, now_ms)
             if not ahead or now_ms < due_ms:
                 continue
@@ -694,21 +722,22 @@
     def _peers_ahead(
         self,
         keys: tuple[str, ...],
+        known: list[int],
         follower: followers.Follower,
         lag_ms: int,
     ) -> list[peers.Peer]:
         """Return peers with later changes of a topic than this instance.
 
-        ``keys`` are those of the version in a state update.
+        ``keys`` are those of the version in a state update, and ``known`` is
+        what this instance has of it.
         Returns none until this instance has lagged for ``lag_ms``, and none
         if its own call to the store for the topic is more recent than that.
         """
-        now_ms, own = self.clock.now_ms(), self._versions()
+        now_ms = self.clock.now_ms()
         ahead = [
             peer
             for peer in self.link.fresh_peers()
-            if [peer.update.get(key, 0) for key in keys]
-            > [own[key] for key in keys]
+            if [peer.update.get(key, 0) for key in keys] > known
         ]
         if not ahead:
             self._behind_since_ms.pop(keys, None)
--- /dev/null
+++ b/packages/cardamom-gateway/src/cardamom_gateway/locations/__init__.py
@@ -0,0 +1,1 @@
+"""Which data centres and regions may get requests."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -45,6 +45,31 @@
             ("step", "subject"),
             registry=self.registry,
         )
+        self.evacuations = prometheus_client.Counter(
+            "cardamom_evacuations_total",
+            "Evacuations that began or ended by data centre.",
+            ("data_centre", "change"),
+            registry=self.registry,
+        )
+        self.evacuations_in_force = prometheus_client.Gauge(
+            "cardamom_evacuation_in_force",
+            "1 while a data centre is evacuated, 0 afterwards.",
+            ("data_centre",),
+            registry=self.registry,
+        )
+        self.last_holder_choices = prometheus_client.Counter(
+            "cardamom_last_holder_choices_total",
+            "Requests for targets of an evacuated data centre which alone "
+            "held the model.",
+            ("data_centre",),
+            registry=self.registry,
+        )
+        self.location_refusals = prometheus_client.Counter(
+            "cardamom_location_refusals_total",
+            "Requests refused because no target was in an allowed place.",
+            ("service", "reason"),
+            registry=self.registry,
+        )
         self.peer_bytes = prometheus_client.Counter(
             "cardamom_peer_bytes_total",
             "Bytes of state updates between instances by direction.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
@@ -81,6 +81,7 @@
             record is None
             or str(record.target.started_ms) != started_ms
             or not targets.accepts(record)
+            or targets.is_evacuated(record.target)
         ):
             return None
         return record
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import structlog
+
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_policy import dispatching
@@ -14,11 +16,15 @@
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
 
+LOG = structlog.get_logger("cardamom.gateway.choice")
+
 # Longest wait for a model, as a fraction of the time to the deadline; it is
 # longer if the route's objective is.
 MODEL_WAIT_FRACTION = 0.6
 # Time in which an adapter slot may become free.
 ADAPTER_RETRY_MS = 120
+# An operator ends an evacuation by hand.
+EVACUATED_RETRY_MS = 3_000
 
 AdapterLoader = typing.Callable[
     [model.Target, str, str], typing.Awaitable[bool]
@@ -77,6 +83,8 @@
             records = self._with_software(
                 call, self._state.targets.of_service(call.service.id)
             )
+            if not records:
+                self._refuse_if_evacuated(call)
             return self._choose_record(call, records, None)
         spec = call.service.engine.model_by_name.get(call.head.model)
         if spec is None:
@@ -103,6 +111,7 @@
                 call, eligible or records, prompt_tokens
             )
             if not choice.needs_adapter:
+                self._note_last_holder(call, record)
                 return record, choice
             call.stage = admission.Stage.ADAPTER
             is_loaded = not record.is_moving(
@@ -113,6 +122,7 @@
             if not self._state.targets.accepts(record):
                 continue  # the target began to leave or pause meanwhile
             if is_loaded:
+                self._note_last_holder(call, record)
                 return record, choice
             without_adapter.add(record.target.id)
             if len(without_adapter) >= len(records):
@@ -137,6 +147,7 @@
             records = self._untried(call, model_name)
         if records:
             return records
+        self._refuse_if_evacuated(call)
         self._check_software(call)
         call.stage = admission.Stage.MODEL
         with state.demand.waiting(model_name):
@@ -152,8 +163,50 @@
                     raise self._not_loaded(call, model_name, expected_ms)
                 await state.targets.wait_for_change(remaining_ms)
                 records = self._untried(call, model_name)
+                if not records:
+                    self._refuse_if_evacuated(call)
         return records
 
+    def _refuse_if_evacuated(self, call: admission.Call) -> None:
+        """Raise RequestRefused if all targets are in evacuated places."""
+        targets = self._state.targets
+        if targets.of_service(call.service.id):
+            return
+        evacuated = targets.evacuated_of_service(call.service.id)
+        if not evacuated:
+            return
+        data_centres = sorted({r.target.data_centre for r in evacuated})
+        message = f"every target is evacuated: {', '.join(data_centres)}"
+        if call.may_have_run:
+            raise target_failed(
+                call, f"{call.last_failure}; {message}", outcomes.Step.ROUTE
+            )
+        self._state.metrics.location_refusals.labels(
+            call.service.id, "evacuated"
+        ).inc()
+        raise admission.refused(
+            outcomes.Code.NO_TARGET,
+            message,
+            outcomes.Step.ROUTE,
+            retry_after_ms=EVACUATED_RETRY_MS,
+        )
+
+    def _note_last_holder(
+        self, call: admission.Call, record: target_records.TargetRecord
+    ) -> None:
+        """Log and count a choice that only a missing copy justifies."""
+        if not self._state.targets.is_evacuated(record.target):
+            return
+        data_centre = record.target.data_centre
+        self._state.metrics.last_holder_choices.labels(data_centre).inc()
+        LOG.info(
+            "evacuation: last holder",
+            id=call.head.attempt,
+            target=record.target.id,
+            data_centre=data_centre,
+            model=call.head.model,
+        )
+
     def _wait_end_ms(self, call: admission.Call) -> float:
         """Return the time at which a wait for a model or adapter ends."""
         return min(
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -11,6 +11,7 @@
 
 from cardamom_gateway.engines import demand
 from cardamom_gateway import interfaces
+from cardamom_gateway.locations import evacuations
 from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway import model
 from cardamom_gateway import settings as settings_module
@@ -52,8 +53,9 @@
         self.codec = codec
         self.metrics = metrics_module.Metrics()
         self.received: ReceivedConfiguration | None = None
+        self.evacuations = evacuations.Evacuations(clock)
         self.targets = target_registry.TargetRegistry(
-            clock, settings.data_centre
+            clock, settings.data_centre, self.evacuations
         )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
--- a/packages/cardamom-gateway/src/cardamom_gateway/store/followers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/store/followers.py
@@ -45,6 +45,7 @@
     ``reachable_since_ms`` is the time at which the store last became
     reachable, or came back from an older copy.  ``is_verified`` is whether the
     store has answered this instance's own call since it began to read.
+    ``current_ms`` is when the version was last known to be the latest one.
     ``wait_ms`` returns how long a call may wait for a change.  ``on_changes``
     is called after changes with the version before them.
     """
@@ -85,6 +86,7 @@
         self.is_verified = False
         self.call_started_ms: int | None = None
         self.reachable_since_ms: int = clocks.NEVER_MS
+        self.current_ms: int = clocks.NEVER_MS
         self._store_clock_offset_ms: int | None = None
 
     def store_clock_ms(self) -> int | None:
@@ -117,6 +119,7 @@
         if is_later:
             self._received_ms = now_ms
             self._apply(message.changes(), message.is_full)
+        self.current_ms = now_ms
         return True
 
     def message_since(
@@ -223,6 +226,7 @@
         self.version = changes.version
         self._needs_full_read = False
         self._apply(changes, is_full)
+        self.current_ms = self._clock.now_ms()
         if changes.changes and self._period_ms():
             await self._clock.sleep_ms(self._period_ms())
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
@@ -165,7 +165,9 @@
         others = [
             other
             for other in self._state.targets.by_id.values()
-            if other is not record and not other.is_relayed
+            if other is not record
+            and not other.is_relayed
+            and not self._state.targets.is_evacuated(other.target)
         ]
         tried = random.sample(others, min(len(others), MAX_TRIED_TARGETS))
         reached = await asyncio.gather(*map(self._probe, tried))
@@ -277,6 +279,8 @@
                 self._group.run_in_background(self._try(record))
 
     async def _try(self, record: target_records.TargetRecord) -> None:
+        if self._state.targets.is_evacuated(record.target):
+            return
         if not await self._probe(record):
             if not record.is_relayed:
                 record.record_connect_failure(self._clock.now_ms())
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -36,6 +36,8 @@
 BUCKET_RETENTION_MS = 60_000
 # Time after which there may be room again at a target.
 ROOM_WAIT_MS = 30
+# Pause of a sender that doesn't know that a target's data centre is evacuated.
+CLOSED_WAIT_MS = 1_000
 NOTHING: target_records.LimitValues = (None, None)
 
 
@@ -193,6 +195,8 @@
         The caller takes this instance for the owner.
         """
         now_ms = self._clock.now_ms()
+        if self._is_closed(request.incarnation):
+            return CLOSED_WAIT_MS
         self._drop_unused(now_ms)
         owned = self._owned_by_incarnation.setdefault(
             request.incarnation,
@@ -219,6 +223,15 @@
             owned.room.finish(request.permit, False, now_ms)
         return wait_ms
 
+    def _is_closed(self, incarnation: str) -> bool:
+        """Return whether a target is in an evacuated data centre.
+
+        The sender may not know of the evacuation yet.
+        """
+        target_id = ids.TargetId(incarnation.rpartition("@")[0])
+        record = self._targets.by_id.get(target_id)
+        return record is not None and self._targets.is_closed(record.target)
+
     def finish(self, end: PermitEnd) -> None:
         """Record the end of a request at a target that is brittle."""
         owned = self._owned_by_incarnation.get(end.incarnation)
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -109,6 +109,7 @@
         self.limit: StatedLimit | None = None
         self.malformed_limit = ""
         self.pause = pauses.Pause()
+        self.cold_until_ms: int = clocks.NEVER_MS
         self._no_permit_until_ms: dict[bool, int] = {}
 
     @property
@@ -125,6 +126,10 @@
         """Return whether requests to the target need a permit."""
         return self.limit is not None and self.limit.is_stated
 
+    def note_cold(self, until_ms: int) -> None:
+        """Record that the target may be cold until a time."""
+        self.cold_until_ms = max(self.cold_until_ms, until_ms)
+
     def pause_permits(self, until_ms: int, is_urgent: bool) -> None:
         """Record that there is no permit for a kind of request before."""
         self._no_permit_until_ms[is_urgent] = until_ms
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -10,6 +10,7 @@
 from cardamom_policy import dispatching
 
 from cardamom_gateway.engines import holdings as holdings_module
+from cardamom_gateway.locations import evacuations as evacuations_module
 from cardamom_gateway import model
 from cardamom_gateway.targets import target_records
 
@@ -42,9 +43,15 @@
     """
 
     def __init__(
-        self, clock: clocks.Clock, data_centre: ids.DataCentreId
+        self,
+        clock: clocks.Clock,
+        data_centre: ids.DataCentreId,
+        evacuations: evacuations_module.Evacuations | None = None,
     ) -> None:
         self._clock = clock
+        self._evacuations = evacuations or evacuations_module.Evacuations(
+            clock
+        )
         self._data_centre = data_centre
         self.by_id: dict[ids.TargetId, target_records.TargetRecord] = {}
         self.cache_tokens_by_service: dict[model.ServiceId, int] = {}
@@ -306,18 +313,46 @@
         ready = [
             record
             for record in self.by_id.values()
-            if record.target.service == service and record.is_usable
+            if record.target.service == service
+            and record.is_usable
+            and not self.is_evacuated(record.target)
         ]
         return [r for r in ready if r.expired_ms is None] or ready
 
+    def evacuated_of_service(
+        self, service: model.ServiceId
+    ) -> list[target_records.TargetRecord]:
+        """Return a service's targets that only an evacuation excludes."""
+        return [
+            record
+            for record in self.by_id.values()
+            if record.target.service == service
+            and record.is_usable
+            and self.is_evacuated(record.target)
+        ]
+
+    def is_evacuated(self, target: model.Target) -> bool:
+        """Return whether a target's data centre is evacuated."""
+        return self._evacuations.is_evacuated(target.data_centre)
+
+    def is_closed(self, target: model.Target) -> bool:
+        """Return whether a target may not even get requests as last holder."""
+        return self._evacuations.is_closed(target.data_centre)
+
     def is_in_use(self, record: target_records.TargetRecord) -> bool:
         """Return whether a record is current and may get new requests."""
         return self.by_id.get(record.target.id) is record and record.is_usable
 
     def accepts(self, record: target_records.TargetRecord) -> bool:
-        """Return whether a record is in use, and has stated no pause."""
-        return self.is_in_use(record) and not record.pause_wait_ms(
-            self._clock.now_ms()
+        """Return whether a record is in use, and may get requests now.
+
+        It has stated no pause, and its data centre isn't evacuated, or it may
+        still be the last holder of a model.
+        """
+        return (
+            self.is_in_use(record)
+            and not record.pause_wait_ms(self._clock.now_ms())
+            and not self.is_closed(record.target)
         )
 
     def pause(
@@ -356,12 +391,25 @@
     def targets_with_model(
         self, service: model.ServiceId, resident: str
     ) -> list[target_records.TargetRecord]:
-        """Return the usable targets of a service that hold a model."""
+        """Return the usable targets of a service that hold a model.
+
+        Those in an evacuated data centre are returned only if there is no
+        other, and only shortly after the evacuation began.
+        """
         now_ms = self._clock.now_ms()
+        last_holders = (
+            record
+            for record in self.evacuated_of_service(service)
+            if not self.is_closed(record.target)
+        )
         return [
             record
             for record in self.of_service(service)
             if (resident, "") in record.residents(now_ms)
+        ] or [
+            record
+            for record in last_holders
+            if (resident, "") in record.residents(now_ms)
         ]
 
     def load_end_times_ms(
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -291,6 +291,7 @@
         self.name = name
         self.service = service
         self.state = "ready"
+        self.zone = "bog-a"
         self.software = "v1"
         self.behaviour: Behaviour = answer_at_once
         self.requests: list[tuple[str, dict[str, str], bytes]] = []
@@ -321,7 +322,7 @@
         return {
             "service": self.service,
             "address": self.address,
-            "zone": "bog-a",
+            "zone": self.zone,
             "version": self.software,
             "slots": 6,
             "state": self.state,
