Choose at random among near-equal targets while figures are stale

Cause: reported loads are up to 1.5 s old and all instances take the same cheapest target, so the busiest target got 3.8 and 4.2 times the mean within a second on two deployments. Change: what others may have sent since their reports is poured into the comparable targets up to a level, and one below it is taken at random. One instance, and fleets with few sends, take the cheapest as before. No deployment has been run.

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -245,6 +245,9 @@
         self.limits.receive(update)
         if "l" in update:
             self._receive_load(incarnation, update["l"], age_ms)
+            state.peer_figures.note(
+                incarnation, str(update["z"]), now_ms - age_ms
+            )
         if "m" in update:
             state.demand_view.receive(
                 incarnation,
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -33,6 +33,13 @@
             ("service", "ending"),
             registry=self.registry,
         )
+        self.choices = prometheus_client.Counter(
+            "cardamom_choices_total",
+            "Choices of a target by service: the cheapest, or one of several"
+            " near-equal ones.",
+            ("service", "choice"),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -11,6 +11,7 @@
 
 from cardamom_kernel import clocks
 from cardamom_platform import connectors
+from cardamom_policy import dispatching
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
@@ -341,6 +342,13 @@
 
     def __enter__(self) -> "Attempt":
         """Add the attempt to its target's load."""
+        self.record.sends.add(
+            dispatching.request_ms(
+                self.record.target.slots,
+                self._prefill_tokens if self.model_and_adapter[0] else None,
+            ),
+            self.started_ms,
+        )
         self.record.load.running += 1
         self.record.load.by_model_and_adapter[self.model_and_adapter] += 1
         self.record.load.prefill_tokens += self._prefill_tokens
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -411,6 +411,7 @@
             incomplete_bytes=len(call.event_buffer.incomplete),
             sent=call.sent_attempts,
             predicted_ms=round(choice.first_event_ms),
+            near_equal=choice.near_equal,
             waited_ms=sent_ms - call.arrived_ms,
             first_ms=(call.first_byte_ms or now_ms) - call.arrived_ms,
             took_ms=now_ms - call.arrived_ms,
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -1,5 +1,6 @@
 """Chooses the target of a request's next attempt, or refuses the request."""
 
+import random
 import typing
 
 from cardamom_kernel import ids
@@ -51,7 +52,8 @@
     ``load_adapter`` has an adapter loaded at a target and returns whether it
     is; ``report_waiting`` tells the holder of orders of waiting requests.
     ``may_begin_stream`` returns whether a stream that may be resumed may begin
-    at a target; others are taken only if there is none of these.
+    at a target; others are taken only if there is none of these.  ``source``
+    is that of the random choice among near-equal targets.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         load_adapter: AdapterLoader,
         report_waiting: typing.Callable[[], None],
         may_begin_stream: typing.Callable[[model.Target], bool],
+        source: random.Random | None = None,
     ) -> None:
         self._state = state
+        self._source = source or random.Random()
         self._may_begin_stream = may_begin_stream
         self._load_adapter = load_adapter
         self._report_waiting = report_waiting
@@ -285,7 +289,11 @@
             records, call.head, call.tried_targets, call.is_urgent
         )
         choice = dispatching.choose(
-            candidates, prompt_tokens, call.route.objective_ms
+            candidates,
+            prompt_tokens,
+            call.route.objective_ms,
+            state.peer_figures.figures(any(c.is_local for c in candidates)),
+            self._source,
         )
         if choice is None:
             if call.may_have_run:
@@ -308,6 +316,10 @@
                 outcomes.Step.QUEUE,
                 retry_after_ms=refusals.retry_after_ms(excess_ms),
             )
+        state.metrics.choices.labels(
+            call.service.id,
+            "cheapest" if choice.near_equal == 1 else "near_equal",
+        ).inc()
         return state.targets.by_id[choice.id], choice
 
     def _refuse_if_all_wait(
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -14,6 +14,7 @@
 from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway import model
 from cardamom_gateway import settings as settings_module
+from cardamom_gateway.targets import peer_figures
 from cardamom_gateway.targets import target_registry
 
 OVERAGE_RATIO = 0.6  # share of the allowed rate overage that is used
@@ -55,6 +56,9 @@
         self.targets = target_registry.TargetRegistry(
             clock, settings.data_centre
         )
+        self.peer_figures = peer_figures.PeerFigures(
+            clock, settings.data_centre
+        )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
         self.rates = fleet_windows.FleetWindow(settings.rate_window_ms, now_ms)
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -6,6 +6,7 @@
 
 from cardamom_kernel import clocks
 from cardamom_policy import dispatching
+from cardamom_policy import even_load
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
@@ -95,6 +96,7 @@
         self.holdings_ms: int = clocks.NEVER_MS
         self.load_end_ms: int = clocks.NEVER_MS
         self.prefix_cache = dispatching.PrefixCacheEstimate(cache_tokens)
+        self.sends = even_load.SendMeter()
         self.failure_ratio = 0.0
         self.suspect_until_ms: int = clocks.NEVER_MS
         self.suspect_ms = FIRST_SUSPECT_MS
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -415,6 +415,7 @@
                 adapter_ms=record.adapter_ms(head, now_ms),
                 failure_ratio=record.failure_ratio,
                 is_relayed=record.is_relayed,
+                sent_rate=record.sends.rate(now_ms),
             )
             for record in trusted or usable
         ]
--- a/packages/cardamom-policy/src/cardamom_policy/dispatching.py
+++ b/packages/cardamom-policy/src/cardamom_policy/dispatching.py
@@ -3,15 +3,19 @@
 To handle bursts of long prompts, load is measured in prompt tokens that a
 replica must prefill before a request, not in requests.  Prompt parts in a
 replica's prefix cache need no prefill there, so sessions return to it unless
-it is much more loaded than the others.
+it is much more loaded than the others.  Replicas whose order by cost the age
+of the figures leaves open are chosen at random, see ``even_load``.
 """
 
 import dataclasses
 import itertools
+import random
 import typing
 
 from cardamom_kernel import ids
 
+from cardamom_policy import even_load
+
 PREFILL_TOKENS_PER_MS = 22.0  # prefill rate of the engines in use
 DELAY_MS_PER_RUNNING_REQUEST = 0.9  # delay of a first event by each request
 # Time that a replica in another data centre must save to be chosen.
@@ -26,6 +30,11 @@
 UNLOAD_MS = 800.0
 FAILURE_COST_MS = 400.0  # cost of a replica whose recent requests all failed
 PLAIN_CALL_MS = 90.0  # run time of a plain call
+# A replica is near-equal to the cheapest only if the part of its cost that
+# doesn't depend on the load (the prompt's uncached tokens, an adapter's load,
+# failures) is at most so much higher.  It is the prefill of 220 tokens, less
+# than that of a session's earlier turns.
+FIXED_COST_TOLERANCE_MS = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,7 +45,9 @@
     instances, as far as reported; ``cached_tokens`` of this prompt are in the
     prefix cache; ``adapter_ms`` is the time until the adapter is loaded, 0 if
     it is; ``failure_ratio`` is the share of recent requests that failed, from
-    0 to 1; ``is_relayed`` is whether requests reach it through a peer.
+    0 to 1; ``is_relayed`` is whether requests reach it through a peer;
+    ``sent_rate`` is the work that this instance sends to it, in ms of
+    predicted time a ms.
     """
 
     id: ids.TargetId
@@ -48,15 +59,21 @@
     adapter_ms: float = 0.0
     failure_ratio: float = 0.0
     is_relayed: bool = False
+    sent_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """The chosen replica and its predicted time to the first event."""
+    """The chosen replica and its predicted time to the first event.
+
+    ``near_equal`` is the number of replicas among which it was chosen at
+    random, 1 if it was the cheapest.
+    """
 
     id: ids.TargetId
     first_event_ms: float
     needs_adapter: bool
+    near_equal: int = 1
 
 
 def first_event_ms(candidate: Candidate, prompt_tokens: int) -> float:
@@ -79,15 +96,29 @@
     return PLAIN_CALL_MS * (1 + candidate.running / max(1, candidate.slots))
 
 
+def request_ms(slots: int, prompt_tokens: float | None) -> float:
+    """Return by how many ms a request raises the predictions for later ones.
+
+    ``prompt_tokens`` are those without the cached ones, None for a plain call.
+    """
+    if prompt_tokens is None:
+        return PLAIN_CALL_MS / max(1, slots)
+    return prompt_tokens / PREFILL_TOKENS_PER_MS + DELAY_MS_PER_RUNNING_REQUEST
+
+
 def choose(
     candidates: typing.Sequence[Candidate],
     prompt_tokens: int | None,
     objective_ms: float = 0.0,
+    figures: even_load.Figures = even_load.EXACT,
+    source: random.Random | None = None,
 ) -> Choice | None:
     """Return the replica with the lowest predicted cost, None for no replica.
 
     ``prompt_tokens`` is None for a plain call (without a prompt).  Local
     replicas that meet the objective with a margin go before any others.
+    With ``figures`` that are stale, and a random ``source``, one of the
+    replicas that are near-equal to the cheapest is returned.
     """
     local_limit_ms = objective_ms * LOCAL_OBJECTIVE_FRACTION
     fast_local = [
@@ -96,22 +127,87 @@
         if candidate.is_local
         and _cost(candidate, prompt_tokens) <= local_limit_ms
     ]
-    return _cheapest(fast_local or candidates, prompt_tokens)
+    eligible = fast_local or candidates
+    best = min(
+        eligible,
+        key=lambda candidate: (_cost(candidate, prompt_tokens), candidate.id),
+        default=None,
+    )
+    if best is None:
+        return None
+    near_equal = 1
+    if source is not None and figures.others:
+        best, near_equal = _choose_near_equal(
+            best,
+            eligible,
+            prompt_tokens,
+            objective_ms,
+            figures,
+            source,
+        )
+    return Choice(
+        best.id,
+        _predicted_ms(best, prompt_tokens),
+        best.adapter_ms > 0,
+        near_equal,
+    )
 
 
-def _cheapest(
-    candidates: typing.Sequence[Candidate], prompt_tokens: int | None
-) -> Choice | None:
-    costs = [
-        (_cost(candidate, prompt_tokens), candidate.id, candidate)
+def _choose_near_equal(
+    best: Candidate,
+    candidates: typing.Sequence[Candidate],
+    prompt_tokens: int | None,
+    objective_ms: float,
+    figures: even_load.Figures,
+    source: random.Random,
+) -> tuple[Candidate, int]:
+    """Return a replica near-equal to the best, and the number of these."""
+    max_fixed_ms = _fixed_ms(best, prompt_tokens) + FIXED_COST_TOLERANCE_MS
+    comparable = [
+        candidate
         for candidate in candidates
+        if candidate.is_local == best.is_local
+        and candidate.is_relayed == best.is_relayed
+        and _fixed_ms(candidate, prompt_tokens) <= max_fixed_ms
     ]
-    if not costs:
-        return None
-    _, _, best = min(costs, key=lambda cost: cost[:2])
-    return Choice(
-        best.id, _predicted_ms(best, prompt_tokens), best.adapter_ms > 0
+    requests = even_load.unseen_requests(
+        sum(candidate.sent_rate for candidate in comparable),
+        _request_ms(best, prompt_tokens),
+        figures,
+    )
+    if len(comparable) == 1 or requests < 1:
+        return best, 1
+    spare = even_load.spare_requests(
+        [
+            even_load.Option(
+                _cost(candidate, prompt_tokens),
+                _request_ms(candidate, prompt_tokens),
+            )
+            for candidate in comparable
+        ],
+        requests,
+        objective_ms * even_load.MAX_TOLERANCE_FRACTION,
     )
+    picked = even_load.pick(spare, source)
+    if picked is None:
+        return best, 1
+    return comparable[picked], sum(weight > 0 for weight in spare)
+
+
+def _request_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
+    if prompt_tokens is None:
+        return request_ms(candidate.slots, None)
+    return request_ms(
+        candidate.slots, max(0, prompt_tokens - candidate.cached_tokens)
+    )
+
+
+def _fixed_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
+    """Return the part of the cost that doesn't depend on the load."""
+    fixed_ms = candidate.failure_ratio * FAILURE_COST_MS + candidate.adapter_ms
+    if prompt_tokens is None:
+        return fixed_ms
+    return fixed_ms + _request_ms(candidate, prompt_tokens)
 
 
 def _predicted_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
