Give callers beyond a rate their turn to retry

Cause: callers of a flooding team were told when one request would fit if nothing else were admitted, mostly 50 ms, so they returned together and were refused again.

Change: an instance keeps the turns that it has promised per team. Retry-After is the time until the window has room, plus the cost of these turns / (rate x this instance's share of the team's requests). A turn is taken by an admitted request when it is due, and expires 300 ms later; one beyond a third of the caller's time is not kept.

--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -33,6 +33,12 @@
             ("service", "ending"),
             registry=self.registry,
         )
+        self.turns = prometheus_client.Counter(
+            "cardamom_turns_total",
+            "Turns of callers beyond a rate, kept or too late for them.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -252,16 +252,39 @@
         if try_quota(team.id, cost, limit, now_ms):
             call.is_charged = is_sent
             call.charged_cost = cost if is_sent else 0.0
+            if is_sent:
+                state.turns.take(team.id, now_ms)
             if is_sent and state.rates.is_report_due(team.id, limit, now_ms):
                 self._report_rates()
             return
+        raise self._beyond_rate(call, team, cost, limit)
+
+    def _beyond_rate(
+        self, call: Call, team: model.Team, cost: float, limit: float
+    ) -> outcomes.RequestRefused:
+        """Return the refusal of a request, with the time of its turn."""
+        state, now_ms = self._state, self._state.clock.now_ms()
         used_quota = state.rates.used(team.id, now_ms, limit)
-        wait_ms = state.rates.wait_ms(team.id, cost, limit, now_ms)
-        raise refused(
+        before = state.turns.waiting(team.id, now_ms)
+        wait_ms = state.turns.promise(
+            team.id,
+            cost,
+            state.pace(team),
+            max(
+                MIN_RATE_RETRY_MS,
+                state.rates.wait_ms(team.id, cost, limit, now_ms),
+            ),
+            call.deadline_ms - now_ms,
+            now_ms,
+        )
+        is_kept = state.turns.waiting(team.id, now_ms) > before
+        state.metrics.turns.labels("kept" if is_kept else "too_late").inc()
+        return refused(
             outcomes.Code.RATE_EXCEEDED,
-            f"{used_quota:.0f} of {limit:.0f} used, {cost:.0f} requested",
+            f"{used_quota:.0f} of {limit:.0f} used, {cost:.0f} requested, "
+            f"{before} turns before it",
             outcomes.Step.ADMIT,
-            retry_after_ms=max(MIN_RATE_RETRY_MS, wait_ms),
+            retry_after_ms=round(wait_ms),
         )
 
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -8,6 +8,7 @@
 from cardamom_kernel import tables
 from cardamom_kernel import trait_suspicion
 from cardamom_policy import fleet_windows
+from cardamom_policy import turns
 
 from cardamom_gateway.engines import demand
 from cardamom_gateway import interfaces
@@ -58,6 +59,7 @@
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
         self.rates = fleet_windows.FleetWindow(settings.rate_window_ms, now_ms)
+        self.turns = turns.Turns()
         self.requests = fleet_windows.FleetWindow(
             settings.retry_window_ms, now_ms
         )
@@ -137,6 +139,14 @@
             + settings.rate_tolerance * ratio
         )
 
+    def pace(self, team: model.Team) -> turns.Pace:
+        """Return the rate of a team with a limit, and this instance's part."""
+        limit = self.rate_limit(team)
+        return turns.Pace(
+            limit * 1000 / self.settings.rate_window_ms,
+            self.rates.share(team.id, limit, self.clock.now_ms()),
+        )
+
     def take_retry(self, service: model.ServiceId) -> bool:
         """Take one retry from the fleet's retry budget for a service.
 
--- a/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
+++ b/packages/cardamom-policy/src/cardamom_policy/fleet_windows.py
@@ -48,6 +48,9 @@
 # Usable part while a member is stale; the remainder covers its delayed counts.
 USABLE_FRACTION = 0.97
 SETTLED_USABLE_FRACTION = 0.98  # usable part while all members are fresh
+# Part of a limit that is taken as used evenly when the share of an instance
+# is estimated, so that an instance with few requests has a share, too.
+EVEN_SHARE_FRACTION = 0.1
 
 
 class SlidingSum:
@@ -340,6 +343,15 @@
         counted = self._own.get(key)
         return counted.sum(now_ms) if counted else 0.0
 
+    def share(self, key: str, limit: float, now_ms: int) -> float:
+        """Return this instance's part of the fleet's use, above 0 up to 1.
+
+        While little is counted, it is near the same part for all instances.
+        """
+        own, even = self.own(key, now_ms), limit * EVEN_SHARE_FRACTION
+        used = own + self._reported(key, now_ms)
+        return (own + even / (len(self._members) + 1)) / (used + even)
+
     def used(self, key: str, now_ms: int, limit: float | None = None) -> float:
         """Return what all instances may have counted within the window.
 
