--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -38,6 +38,10 @@
             "Choices of a target by service: the cheapest, or one of several"
             " near-equal ones.",
             ("service", "choice"),
+        self.turns = prometheus_client.Counter(
+            "cardamom_turns_total",
+            "Turns of callers beyond a rate, kept or too late for them.",
+            ("outcome",),
             registry=self.registry,
         )
         self.orders = prometheus_client.Counter(
