Serve requests at the homes of their route and team only

Cause: allowed_regions of routes and teams was read and ignored, so requests ran in any region and passed through instances in any region.

Change: Homes gives the regions that bind, the intersection where both a route and its team have homes. Targets elsewhere are filtered before the choice, so retries and resumed streams keep to it, and relays are chosen at home. Without a target at home a request is refused at once: 503, not run, Retry-After 3 s.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -14,6 +14,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway.fleet import suspect_reports
+from cardamom_gateway.locations import homes as homes_module
 from cardamom_gateway import model
 from cardamom_gateway.requests import streams
 from cardamom_gateway import state as state_module
@@ -84,6 +85,11 @@
     last_target: str = outcomes.NO_PEER
     last_failure: str = ""
 
+    @property
+    def homes(self) -> homes_module.Homes:
+        """Return the regions that may run the request."""
+        return homes_module.of_request(self.route, self.team)
+
     @property
     def first_event_deadline_ms(self) -> int:
         """Return when a caller without an event or answer disconnects."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -354,7 +354,9 @@
             call.fingerprint,
             head.model_and_adapter,
             call.part_digests,
-            self._reachability.relay_for(record, call.tried_relays),
+            self._reachability.relay_for(
+                record, call.tried_relays, call.homes
+            ),
             outlasts_silence=call.route.kind is not model.CallKind.IDEMPOTENT,
         )
         call.relay = attempt.relay
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -15,6 +15,7 @@
 from cardamom_gateway.requests import admission
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
+from cardamom_gateway.targets import target_registry
 
 LOG = structlog.get_logger("cardamom.gateway.choice")
 
@@ -23,8 +24,8 @@
 MODEL_WAIT_FRACTION = 0.6
 # Time in which an adapter slot may become free.
 ADAPTER_RETRY_MS = 120
-# An operator ends an evacuation by hand.
-EVACUATED_RETRY_MS = 3_000
+# Operators end evacuations and change homes by hand.
+NO_PLACE_RETRY_MS = 3_000
 
 AdapterLoader = typing.Callable[
     [model.Target, str, str], typing.Awaitable[bool]
@@ -80,11 +81,9 @@
         Raises RequestRefused if there is none, or if it would answer too late.
         """
         if call.service.engine is None:
-            records = self._with_software(
-                call, self._state.targets.of_service(call.service.id)
-            )
+            records = self._with_software(call, self._allowed(call))
             if not records:
-                self._refuse_if_evacuated(call)
+                self._refuse_without_place(call)
             return self._choose_record(call, records, None)
         spec = call.service.engine.model_by_name.get(call.head.model)
         if spec is None:
@@ -147,7 +146,7 @@
             records = self._untried(call, model_name)
         if records:
             return records
-        self._refuse_if_evacuated(call)
+        self._refuse_without_place(call)
         self._check_software(call)
         call.stage = admission.Stage.MODEL
         with state.demand.waiting(model_name):
@@ -164,31 +163,54 @@
                 await state.targets.wait_for_change(remaining_ms)
                 records = self._untried(call, model_name)
                 if not records:
-                    self._refuse_if_evacuated(call)
+                    self._refuse_without_place(call)
         return records
 
-    def _refuse_if_evacuated(self, call: admission.Call) -> None:
-        """Raise RequestRefused if all targets are in evacuated places."""
-        targets = self._state.targets
-        if targets.of_service(call.service.id):
+    def _target_filter(
+        self, call: admission.Call
+    ) -> target_registry.TargetFilter:
+        """Return whether targets are in the regions that may run a call."""
+        homes = call.homes
+        if not homes.are_bound:
+            return target_registry.allow_any
+        regions = self._state.settings.region_by_data_centre
+        return lambda target: homes.includes(target.data_centre, regions)
+
+    def _allowed(
+        self, call: admission.Call
+    ) -> list[target_records.TargetRecord]:
+        return self._state.targets.of_service(
+            call.service.id, self._target_filter(call)
+        )
+
+    def _refuse_without_place(self, call: admission.Call) -> None:
+        """Raise RequestRefused if no target is in an allowed place."""
+        if self._allowed(call):
             return
-        evacuated = targets.evacuated_of_service(call.service.id)
-        if not evacuated:
+        evacuated = self._state.targets.evacuated_of_service(
+            call.service.id, self._target_filter(call)
+        )
+        if evacuated:
+            data_centres = sorted({r.target.data_centre for r in evacuated})
+            reason = "evacuated"
+            message = f"every target is evacuated: {', '.join(data_centres)}"
+        elif call.homes.are_bound:
+            reason = "homes"
+            message = f"no target is in a home of the request: {call.homes}"
+        else:
             return
-        data_centres = sorted({r.target.data_centre for r in evacuated})
-        message = f"every target is evacuated: {', '.join(data_centres)}"
         if call.may_have_run:
             raise target_failed(
                 call, f"{call.last_failure}; {message}", outcomes.Step.ROUTE
             )
         self._state.metrics.location_refusals.labels(
-            call.service.id, "evacuated"
+            call.service.id, reason
         ).inc()
         raise admission.refused(
             outcomes.Code.NO_TARGET,
             message,
             outcomes.Step.ROUTE,
-            retry_after_ms=EVACUATED_RETRY_MS,
+            retry_after_ms=NO_PLACE_RETRY_MS,
         )
 
     def _note_last_holder(
@@ -235,7 +257,7 @@
         self, call: admission.Call, model_name: str
     ) -> list[target_records.TargetRecord]:
         records = self._state.targets.targets_with_model(
-            call.service.id, model_name
+            call.service.id, model_name, self._target_filter(call)
         )
         untried = [
             record
@@ -268,9 +290,7 @@
         """Raise RequestRefused if no target can continue the stream."""
         if call.software_version is None:
             return
-        records = self._with_software(
-            call, self._state.targets.of_service(call.service.id)
-        )
+        records = self._with_software(call, self._allowed(call))
         if any(r.target.id not in call.tried_targets for r in records):
             return
         message = (
@@ -291,6 +311,7 @@
     def _model_wait_ms(self, call: admission.Call, model_name: str) -> float:
         """Return the predicted wait in ms for a model that is not loaded."""
         engine, registry = call.service.engine, self._state.targets
+        is_allowed = self._target_filter(call)
         assert engine is not None
         spec = engine.model_by_name[model_name]
         return loading_waits.wait_ms(
@@ -301,10 +322,12 @@
                 spec.store_load_ms,
             ),
             loading_waits.first_due_ms(
-                registry.load_end_times_ms(call.service.id, model_name),
+                registry.load_end_times_ms(
+                    call.service.id, model_name, is_allowed
+                ),
                 self._state.clock.now_ms(),
             ),
-            registry.is_on_disk(call.service.id, model_name),
+            registry.is_on_disk(call.service.id, model_name, is_allowed),
         )
 
     def _not_loaded(
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/reachability.py
@@ -21,6 +21,7 @@
 from cardamom_kernel import tasks
 
 from cardamom_gateway.fleet import peers
+from cardamom_gateway.locations import homes as homes_module
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
@@ -299,18 +300,23 @@
         self,
         record: target_records.TargetRecord,
         exclude: typing.Container[ids.InstanceId],
+        homes: homes_module.Homes = homes_module.ANYWHERE,
     ) -> peers.Member | None:
         """Return the peer to send a request through, None to send it directly.
 
+        Peers outside the request's homes may not get its body.
+
         The peer with the fewest requests of this instance is chosen, and a
         near one if it has only a few more.
         """
         if not record.is_relayed:
             return None
+        regions = self._state.settings.region_by_data_centre
         members = [
             peer.member
             for peer in self._usable_peers()
             if peer.member.id not in exclude
+            and homes.includes(peer.member.data_centre, regions)
         ]
         random.shuffle(members)
         local = self._state.settings.data_centre
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -26,6 +26,14 @@
 REMOVED_RETENTION_MS = 60_000
 
 
+TargetFilter = typing.Callable[[model.Target], bool]
+
+
+def allow_any(target: model.Target) -> bool:
+    """Serve as default filter of targets."""
+    return True
+
+
 def _do_nothing(target: model.Target) -> None:
     """Serve as default for ``on_leaving``."""
 
@@ -303,7 +311,9 @@
             self._loaded_by_peer[peer] = loaded
 
     def of_service(
-        self, service: model.ServiceId
+        self,
+        service: model.ServiceId,
+        is_allowed: TargetFilter = allow_any,
     ) -> list[target_records.TargetRecord]:
         """Return the targets of a service that may get new requests.
 
@@ -316,11 +326,14 @@
             if record.target.service == service
             and record.is_usable
             and not self.is_evacuated(record.target)
+            and is_allowed(record.target)
         ]
         return [r for r in ready if r.expired_ms is None] or ready
 
     def evacuated_of_service(
-        self, service: model.ServiceId
+        self,
+        service: model.ServiceId,
+        is_allowed: TargetFilter = allow_any,
     ) -> list[target_records.TargetRecord]:
         """Return a service's targets that only an evacuation excludes."""
         return [
@@ -329,6 +342,7 @@
             if record.target.service == service
             and record.is_usable
             and self.is_evacuated(record.target)
+            and is_allowed(record.target)
         ]
 
     def is_evacuated(self, target: model.Target) -> bool:
@@ -389,7 +403,10 @@
             self.on_leaving(record.target)
 
     def targets_with_model(
-        self, service: model.ServiceId, resident: str
+        self,
+        service: model.ServiceId,
+        resident: str,
+        is_allowed: TargetFilter = allow_any,
     ) -> list[target_records.TargetRecord]:
         """Return the usable targets of a service that hold a model.
 
@@ -399,12 +416,12 @@
         now_ms = self._clock.now_ms()
         last_holders = (
             record
-            for record in self.evacuated_of_service(service)
+            for record in self.evacuated_of_service(service, is_allowed)
             if not self.is_closed(record.target)
         )
         return [
             record
-            for record in self.of_service(service)
+            for record in self.of_service(service, is_allowed)
             if (resident, "") in record.residents(now_ms)
         ] or [
             record
@@ -413,20 +430,28 @@
         ]
 
     def load_end_times_ms(
-        self, service: model.ServiceId, name: str
+        self,
+        service: model.ServiceId,
+        name: str,
+        is_allowed: TargetFilter = allow_any,
     ) -> list[int]:
         """Return the expected end times in ms of a model's current loads."""
         return [
             record.load_end_ms
-            for record in self.of_service(service)
+            for record in self.of_service(service, is_allowed)
             if record.holdings is not None and record.holdings.loading == name
         ]
 
-    def is_on_disk(self, service: model.ServiceId, name: str) -> bool:
+    def is_on_disk(
+        self,
+        service: model.ServiceId,
+        name: str,
+        is_allowed: TargetFilter = allow_any,
+    ) -> bool:
         """Return whether a target has a model on disk or in host memory."""
         return any(
             name in record.target.on_disk | record.target.in_host_memory
-            for record in self.of_service(service)
+            for record in self.of_service(service, is_allowed)
         )
 
     def candidates(
--- a/tests/wire/standins.py
+++ b/tests/wire/standins.py
@@ -568,13 +568,15 @@
         return f"http://{self.gateways[number].settings.callers}{path}"
 
     async def start_gateway(
-        self, is_first_start: bool = True
+        self, is_first_start: bool = True, **settings_changes: typing.Any
     ) -> gateway_module.Gateway:
-        """Start one more gateway."""
+        """Start one more gateway, with some settings changed."""
         settings = make_settings(len(self.gateways), self.store)
         gateway = gateway_module.Gateway(
             self.open_platform(),
-            dataclasses.replace(settings, is_first_start=is_first_start),
+            dataclasses.replace(
+                settings, is_first_start=is_first_start, **settings_changes
+            ),
         )
         # The start is moved back beyond the sliding windows, so that their
         # counts are complete.
--- a/tests/wire/test_evacuations.py
+++ b/tests/wire/test_evacuations.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import typing
 
 import aiohttp
@@ -340,7 +339,9 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             store = deployment.store
-            cut = await start_in(deployment, "bog-c")
+            cut = await deployment.start_gateway(
+                data_centre=ids.DataCentreId("bog-c")
+            )
             await standins.wait_until(
                 lambda: cut.is_ready and bool(cut.link.fresh_peers())
             )
@@ -362,20 +363,6 @@
         scenarios.run_scenario(scenario, plain=1, engines=0, gateways=1)
 
 
-async def start_in(
-    deployment: standins.Deployment, zone: str
-) -> gateway_module.Gateway:
-    """Start one more gateway in another data centre."""
-    original = standins.make_settings
-    try:
-        standins.make_settings = lambda number, store: dataclasses.replace(
-            original(number, store), data_centre=ids.DataCentreId(zone)
-        )
-        return await deployment.start_gateway()
-    finally:
-        standins.make_settings = original
-
-
 class TestEngines:
     """Engines in an evacuated data centre."""
 
