Show the evacuations that each gateway has in force

Cause: an operator couldn't see whether every instance had heard of a row.

Change: cardamomctl evacuations asks the metrics addresses that it is given and shows the gauge of each; exit code 6 if they differ or one does not answer, 5 if none does.

--- a/packages/cardamom-ctl/src/cardamom_ctl/cli.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/cli.py
@@ -12,6 +12,7 @@
 
 from cardamom_config import folders
 from cardamom_ctl import client as clients
+from cardamom_ctl import evacuations as evacuations_module
 from cardamom_ctl import traces
 
 APPLY_ATTEMPTS = 3
@@ -243,6 +244,53 @@
     _print_status(answer.body)
 
 
+@app.command()
+def evacuations(
+    instances: typing.Annotated[
+        list[str],
+        typer.Argument(help="Metrics addresses of gateways, as HOST:PORT."),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Show which evacuations each gateway instance has in force.
+
+    Exits with 6 if the instances differ or one does not answer, and with 5
+    if none answers.
+    """
+    views = evacuations_module.read(instances)
+    known = {
+        view.data_centres for view in views if view.data_centres is not None
+    }
+    if as_json:
+        print(json.dumps([_evacuations_document(view) for view in views]))
+    else:
+        for view in views:
+            if view.data_centres is None:
+                print(f"{view.address}: no answer ({view.error})")
+            else:
+                names = ", ".join(sorted(view.data_centres))
+                print(f"{view.address}: {names or 'none'}")
+    if not known:
+        _print_error("no instance answered")
+        raise typer.Exit(Exit.UNREACHED)
+    if len(known) > 1:
+        _print_error("the instances differ")
+    if len(known) > 1 or any(view.data_centres is None for view in views):
+        raise typer.Exit(Exit.NOT_YET_IN_FORCE)
+
+
+def _evacuations_document(
+    view: evacuations_module.View,
+) -> dict[str, typing.Any]:
+    return {
+        "instance": view.address,
+        "evacuated": None
+        if view.data_centres is None
+        else sorted(view.data_centres),
+        "error": view.error,
+    }
+
+
 @key_app.command("create")
 def key_create(
     team: str,
