Report what a configuration has in vain, and each finding's code

Cause: only what refuses a configuration was reported. Routes that never match and limits that contradict each other were found in service.

Change: a finding has a severity, a stable code, a file, a line, a field and a message; what was an error stays one, and new findings are warnings. Files are parsed by libyaml where it is built in. Infinite numbers and those above 2^53 are errors: the operator port accepted them, but the table stores null for the former and orjson refuses those above 64 bits, so no instance could adopt them.

--- a/packages/cardamom-config/src/cardamom_config/folders.py
+++ b/packages/cardamom-config/src/cardamom_config/folders.py
@@ -1,11 +1,13 @@
 """Reads a folder of configuration files, merged in the order of their names.
 
-All errors are reported together, each with its file and line and, where
-possible, with how to correct it.
+All findings are reported together, each with its file and line and with how
+to correct it.
 """
 
 import dataclasses
+import json
 import pathlib
+import re
 import tomllib
 import typing
 
@@ -13,11 +15,38 @@
 import yaml
 
 from cardamom_config import crosschecks
+from cardamom_config import findings
+from cardamom_config import plausibility
 from cardamom_config import schema
 
 SUFFIXES = (".yaml", ".yml", ".toml")
 
-Path = tuple[str, ...]
+# A field is at most the third level.  Deeper mappings are not read, since
+# aliases could make them endless.
+MAX_DEPTH = 4
+
+# libyaml reads 4,000 routes in a tenth of the time; it is not part of every
+# build of PyYAML.
+LOADER: typing.Any = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+# What PyYAML raises for a value that does not fit its tag, for instance a
+# date in month 13, a number of 5,000 digits or an unknown tag.
+VALUE_ERRORS = (
+    yaml.YAMLError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+# tomllib raises ValueError also for numbers that are too long.
+TOML_ERRORS = (ValueError, RecursionError)
+TOML_ERROR_LINE = re.compile(r"at line (\d+)")
+TOML_HEADER = re.compile(r"\[\[?\s*(.+?)\s*\]\]?\s*(#.*)?$")
+
+Path = findings.Path
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,25 +58,37 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Problem:
-    """One error in a folder; ``field`` is a dotted path or empty."""
+class LoadResult:
+    """A configuration, or None and the errors that make it invalid.
 
-    file: str
-    line: int
-    field: str
-    message: str
+    ``warnings`` are complete only if every field by itself is valid.
+    """
 
-    def __str__(self) -> str:
-        field = f" {self.field}:" if self.field else ""
-        return f"{self.file}:{self.line}:{field} {self.message}"
+    configuration: schema.Configuration | None
+    problems: tuple[findings.Finding, ...]
+    warnings: tuple[findings.Finding, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
-class LoadResult:
-    """A configuration, or None and the problems that make it invalid."""
+class KeyList:
+    """The keys of a fleet, or None and why they could not be read."""
 
-    configuration: schema.Configuration | None
-    problems: tuple[Problem, ...]
+    keys: tuple[plausibility.Key, ...] | None
+    problems: tuple[findings.Finding, ...] = ()
+
+
+class _ListedKey(pydantic.BaseModel):
+    """A key as ``cardamomctl key list --json`` prints it."""
+
+    id: str
+    team: str
+    withdrawn: bool = False
+
+
+class _KeyDocument(pydantic.BaseModel):
+    """The output of ``cardamomctl key list --json``."""
+
+    keys: tuple[_ListedKey, ...]
 
 
 class _Merge:
@@ -56,12 +97,26 @@
     def __init__(self) -> None:
         self.tree: dict[str, typing.Any] = {}
         self.position_by_path: dict[Path, Position] = {}
-        self.problems: list[Problem] = []
+        self.found: list[findings.Finding] = []
+
+    def report(
+        self,
+        code: findings.Code,
+        position: Position,
+        path: Path,
+        message: str,
+    ) -> None:
+        """Add a finding."""
+        self.found.append(
+            findings.make_finding(
+                code, position.file, position.line, path, message
+            )
+        )
 
-    def report(self, position: Position, field: str, message: str) -> None:
-        """Add a problem."""
-        self.problems.append(
-            Problem(position.file, position.line, field, message),
+    def report_issue(self, issue: findings.Issue) -> None:
+        """Add a finding at the position of its field."""
+        self.report(
+            issue.code, self.position(issue.path), issue.path, issue.message
         )
 
     def position(self, path: Path) -> Position:
@@ -72,84 +127,186 @@
                 return position
         return Position("(folder)", 1)
 
+    def result(self, configuration: schema.Configuration | None) -> LoadResult:
+        """Return the configuration unless an error was reported."""
+        ordered = sorted(self.found, key=lambda f: (f.file, f.line))
+        problems = tuple(
+            finding
+            for finding in ordered
+            if finding.severity is findings.Severity.ERROR
+        )
+        warnings = tuple(
+            finding
+            for finding in ordered
+            if finding.severity is findings.Severity.WARNING
+        )
+        return LoadResult(
+            None if problems else configuration, problems, warnings
+        )
+
 
-def load_folder(folder: pathlib.Path) -> LoadResult:
+def load_folder(
+    folder: pathlib.Path,
+    keys: typing.Sequence[plausibility.Key] | None = None,
+) -> LoadResult:
     """Read, merge and check the files of a folder.
 
     Files with suffixes other than ``SUFFIXES`` are ignored.  A missing
     folder, unreadable files and syntax errors are returned as problems.
+    ``keys`` are those of the fleet; None if they are not known.
     """
     merge = _Merge()
-    if not folder.is_dir():
-        problem = Problem(
-            str(folder), 1, "", "is not a folder; use the path of a folder"
+    place = Position(str(folder), 1)
+    try:
+        files = sorted(p for p in folder.iterdir() if p.suffix in SUFFIXES)
+    except OSError as error:
+        merge.report(
+            findings.Code.FOLDER_UNREADABLE,
+            place,
+            (),
+            f"is not a folder that can be listed: {error.strerror}; use the "
+            "path of a folder",
         )
-        return LoadResult(None, (problem,))
-    files = sorted(p for p in folder.iterdir() if p.suffix in SUFFIXES)
+        return merge.result(None)
     if not files:
-        problem = Problem(
-            str(folder), 1, "", "contains no .yaml or .toml file"
+        merge.report(
+            findings.Code.FOLDER_EMPTY,
+            place,
+            (),
+            "contains no .yaml or .toml file; add one",
         )
-        return LoadResult(None, (problem,))
+        return merge.result(None)
     for file in files:
         _merge_file(merge, file)
-    return _validate(merge)
+    return _validate(merge, keys)
 
 
-def check_body(body: typing.Mapping[str, typing.Any]) -> LoadResult:
+def check_body(
+    body: typing.Mapping[str, typing.Any],
+    keys: typing.Sequence[plausibility.Key] | None = None,
+    with_warnings: bool = True,
+) -> LoadResult:
     """Check a configuration that is already one mapping.
 
-    Its problems have the file ``(folder)`` and the line 1.
+    Its findings have the file ``(folder)`` and the line 1.  ``keys`` are
+    those of the fleet; None if they are not known.  Without warnings the
+    check takes less time; an instance adopts a configuration so.
     """
     merge = _Merge()
     merge.tree = dict(body)
-    return _validate(merge)
+    return _validate(merge, keys, with_warnings)
+
+
+def load_keys(file: pathlib.Path) -> KeyList:
+    """Read what ``cardamomctl key list --json`` has printed."""
+    try:
+        document = _KeyDocument.model_validate(
+            json.loads(file.read_text(encoding="utf-8"))
+        )
+    except OSError as error:
+        return _unreadable_keys(file, f"cannot be read: {error.strerror}")
+    except pydantic.ValidationError as error:
+        first = error.errors(include_input=False)[0]
+        field = ".".join(str(part) for part in first["loc"])
+        return _unreadable_keys(file, f"{field or 'list'}: {first['msg']}")
+    except (ValueError, RecursionError):
+        return _unreadable_keys(file, "is not JSON")
+    return KeyList(
+        tuple(
+            plausibility.Key(key.id, key.team, key.withdrawn)
+            for key in document.keys
+        )
+    )
+
+
+def _unreadable_keys(file: pathlib.Path, message: str) -> KeyList:
+    finding = findings.make_finding(
+        findings.Code.KEY_LIST_UNREADABLE,
+        str(file),
+        1,
+        (),
+        f"{message}; use the output of cardamomctl key list --json",
+    )
+    return KeyList(None, (finding,))
 
 
-def _validate(merge: _Merge) -> LoadResult:
-    configuration = None
+def _validate(
+    merge: _Merge,
+    keys: typing.Sequence[plausibility.Key] | None,
+    with_warnings: bool = True,
+) -> LoadResult:
     try:
         configuration = schema.Configuration.model_validate(merge.tree)
     except pydantic.ValidationError as error:
-        for item in error.errors():
+        for item in error.errors(include_url=False, include_input=False):
             path = tuple(str(key) for key in item["loc"] if key != "[key]")
-            merge.report(
-                merge.position(path),
-                ".".join(path),
-                _message_of(item["type"], item["msg"]),
+            code, message = _describe(
+                item["type"], item["msg"], "[key]" in item["loc"]
             )
-    if configuration is not None:
-        for path, message in crosschecks.find_problems(configuration):
-            merge.report(merge.position(path), ".".join(path), message)
-    if merge.problems:
-        problems = sorted(merge.problems, key=lambda p: (p.file, p.line))
-        return LoadResult(None, tuple(problems))
-    return LoadResult(configuration, ())
-
-
-def _message_of(error_type: str, message: str) -> str:
+            merge.report(code, merge.position(path), path, message)
+        return merge.result(None)
+    for issue in crosschecks.find_errors(configuration):
+        merge.report_issue(issue)
+    if with_warnings:
+        for issue in plausibility.find_warnings(configuration, keys):
+            merge.report_issue(issue)
+    return merge.result(configuration)
+
+
+def _describe(
+    error_type: str, message: str, is_name: bool
+) -> tuple[findings.Code, str]:
+    """Return the code and the message for an error of the schema."""
     if error_type == "extra_forbidden":
-        return "unknown field; remove it or correct its name"
+        return (
+            findings.Code.UNKNOWN_FIELD,
+            "unknown field; remove it or correct its name",
+        )
     if error_type == "missing":
-        return "is required; add it"
-    return message[0].lower() + message[1:]
+        return findings.Code.MISSING_FIELD, "is required; add it"
+    text = message.removeprefix("Value error, ")
+    text = text[0].lower() + text[1:]
+    if is_name:
+        return findings.Code.INVALID_NAME, text
+    return findings.Code.INVALID_VALUE, text
 
 
 def _merge_file(merge: _Merge, file: pathlib.Path) -> None:
+    start = Position(file.name, 1)
     try:
         text = file.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        merge.report(Position(file.name, 1), "", f"cannot be read: {error}")
+        merge.report(
+            findings.Code.FILE_UNREADABLE,
+            start,
+            (),
+            f"cannot be read: {error}",
+        )
         return
     if file.suffix == ".toml":
         _merge_toml(merge, file.name, text)
         return
     try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        node = yaml.compose(text, Loader=LOADER)
     except yaml.MarkedYAMLError as error:
+        # libyaml puts an early end of the file on the line after the last.
         mark = error.problem_mark
-        line = mark.line + 1 if mark else 1
-        merge.report(Position(file.name, line), "", f"{error.problem}")
+        last_line = max(1, len(text.splitlines()))
+        line = min(mark.line + 1, last_line) if mark else 1
+        merge.report(
+            findings.Code.SYNTAX,
+            Position(file.name, line),
+            (),
+            f"{error.problem}",
+        )
+        return
+    except (yaml.YAMLError, RecursionError) as error:
+        position = getattr(error, "position", None) or 0
+        line = text[:position].count("\n") + 1
+        reason = getattr(error, "reason", "is nested too deeply")
+        merge.report(
+            findings.Code.SYNTAX, Position(file.name, line), (), f"{reason}"
+        )
         return
     if node is not None:
         _merge_node(merge, file.name, (), node, merge.tree)
@@ -162,17 +319,40 @@
     node: yaml.Node,
     merged: dict[str, typing.Any],
 ) -> None:
+    start = Position(file, node.start_mark.line + 1)
     if not isinstance(node, yaml.MappingNode):
-        position = Position(file, node.start_mark.line + 1)
-        merge.report(position, ".".join(path), "must be a mapping")
+        merge.report(
+            findings.Code.NOT_A_MAPPING, start, path, "must be a mapping"
+        )
+        return
+    if len(path) >= MAX_DEPTH:
+        merge.report(
+            findings.Code.NESTED_TOO_DEEPLY,
+            start,
+            path,
+            "is nested too deeply; remove it",
+        )
         return
     keys: set[str] = set()
     for key_node, value_node in node.value:
-        key = str(key_node.value)
         position = Position(file, key_node.start_mark.line + 1)
+        if not isinstance(key_node, yaml.ScalarNode):
+            merge.report(
+                findings.Code.INVALID_NAME,
+                position,
+                path,
+                "has a list or mapping as a name; use a text",
+            )
+            continue
+        key = str(key_node.value)
         key_path = (*path, key)
         if key in keys:
-            merge.report(position, ".".join(key_path), "is defined twice")
+            merge.report(
+                findings.Code.DEFINED_TWICE,
+                position,
+                key_path,
+                "is defined twice; remove one",
+            )
         keys.add(key)
         merge.position_by_path[key_path] = position
         if isinstance(value_node, yaml.MappingNode):
@@ -180,31 +360,41 @@
             merged[key] = child if isinstance(child, dict) else {}
             _merge_node(merge, file, key_path, value_node, merged[key])
             continue
-        merged[key] = _construct_value(value_node)
+        try:
+            merged[key] = _construct_value(value_node)
+        except VALUE_ERRORS:
+            merged[key] = None
+            merge.report(
+                findings.Code.VALUE_UNREADABLE,
+                position,
+                key_path,
+                "has a value that cannot be read; write a plain number, text "
+                "or list",
+            )
 
 
 def _construct_value(node: yaml.Node) -> typing.Any:
-    loader = yaml.SafeLoader("")
-    try:
-        return loader.construct_object(node, deep=True)
-    finally:
-        loader.dispose()
+    constructor = yaml.constructor.SafeConstructor()
+    return constructor.construct_object(node, deep=True)
 
 
 def _merge_toml(merge: _Merge, file: str, text: str) -> None:
     try:
         tree = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        merge.report(Position(file, 1), "", str(error))
+    except TOML_ERRORS as error:
+        match = TOML_ERROR_LINE.search(str(error))
+        line = int(match.group(1)) if match else 1
+        merge.report(
+            findings.Code.SYNTAX, Position(file, line), (), str(error)
+        )
         return
-    lines = text.splitlines()
-    _merge_tree(merge, file, lines, (), tree, merge.tree)
+    _merge_tree(merge, file, _toml_lines(text), (), tree, merge.tree)
 
 
 def _merge_tree(
     merge: _Merge,
     file: str,
-    lines: list[str],
+    line_by_field: typing.Mapping[str, int],
     path: Path,
     tree: typing.Mapping[str, typing.Any],
     merged: dict[str, typing.Any],
@@ -212,28 +402,43 @@
     for key, value in tree.items():
         key_path = (*path, key)
         merge.position_by_path[key_path] = Position(
-            file, _toml_line(lines, key_path)
+            file, _toml_line(line_by_field, key_path)
         )
         if isinstance(value, dict):
             child = merged.get(key)
             merged[key] = child if isinstance(child, dict) else {}
-            _merge_tree(merge, file, lines, key_path, value, merged[key])
+            _merge_tree(
+                merge, file, line_by_field, key_path, value, merged[key]
+            )
             continue
         merged[key] = value
 
 
-def _toml_line(lines: list[str], path: Path) -> int:
-    """Return the line of a table header or of a key within its table."""
+def _toml_lines(text: str) -> dict[str, int]:
+    """Return the first line of each table and of each key, by dotted path."""
+    line_by_field: dict[str, int] = {}
     table = ""
-    for number, line in enumerate(lines, start=1):
-        text = line.strip()
-        if text.startswith("["):
-            table = text.strip("[]").replace('"', "")
-            if table == ".".join(path):
-                return number
-        elif (
-            table == ".".join(path[:-1])
-            and text.split("=")[0].strip() == (path[-1])
-        ):
-            return number
+    for number, raw in enumerate(text.splitlines(), start=1):
+        line = raw.strip()
+        header = TOML_HEADER.match(line)
+        if header:
+            table = _unquoted(header.group(1))
+            line_by_field.setdefault(table, number)
+        elif "=" in line:
+            key = _unquoted(line.split("=")[0].strip())
+            field = f"{table}.{key}" if table else key
+            line_by_field.setdefault(field, number)
+    return line_by_field
+
+
+def _unquoted(text: str) -> str:
+    return text.replace('"', "").replace("'", "")
+
+
+def _toml_line(line_by_field: typing.Mapping[str, int], path: Path) -> int:
+    """Return the line of a field or else of its nearest parent."""
+    for length in range(len(path), 0, -1):
+        line = line_by_field.get(".".join(path[:length]))
+        if line is not None:
+            return line
     return 1
--- a/packages/cardamom-config/src/cardamom_config/schema.py
+++ b/packages/cardamom-config/src/cardamom_config/schema.py
@@ -7,13 +7,30 @@
 
 NAME_PATTERN = r"^[a-z0-9][a-z0-9._-]{0,62}$"
 
+# Readers of JSON may round whole numbers above it, and the table refuses those
+# of more than 64 bits.
+LARGEST_NUMBER = 2**53
+
 Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 
 
 class Section(pydantic.BaseModel):
-    """Base class of all sections; unknown fields are errors."""
+    """Base class of all sections; unknown fields are errors.
+
+    So are infinite numbers, which JSON lacks: the table stored null for them,
+    which no instance accepts.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False
+    )
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    @pydantic.field_validator("*")
+    @classmethod
+    def _check_size(cls, value: typing.Any) -> typing.Any:
+        if isinstance(value, int) and value > LARGEST_NUMBER:
+            raise ValueError("is above 2^53; use a smaller number")
+        return value
 
 
 class TargetKind(enum.Enum):
--- a/packages/cardamom-daemon/src/cardamom_daemon/fleet.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/fleet.py
@@ -173,12 +173,14 @@
             self._update_own_seat()
 
     def _apply_configuration(self, document: documents.Document) -> None:
-        loaded = folders.check_body(document.body["configuration"])
+        loaded = folders.check_body(
+            document.body["configuration"], with_warnings=False
+        )
         if loaded.configuration is None:
             LOG.error(
                 "fleet: configuration not valid",
                 version=document.version,
-                problems=[str(problem) for problem in loaded.problems],
+                problems=[problem.render() for problem in loaded.problems],
             )
             return
         self.catalog.replace(loaded.configuration)
