Show warnings, differences and effects in cardamomctl check

Cause: an operator saw what a folder changes only against a running fleet, and not what the change does to callers.

In JSON, problems are still the errors, warnings stand beside them. apply prints the warnings of the operator port.

--- a/packages/cardamom-ctl/src/cardamom_ctl/cli.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/cli.py
@@ -10,6 +10,9 @@
 
 import typer
 
+from cardamom_config import diffs
+from cardamom_config import effects
+from cardamom_config import findings
 from cardamom_config import folders
 from cardamom_ctl import client as clients
 from cardamom_ctl import traces
@@ -22,6 +25,7 @@
 
     DONE = 0
     FAILED = 1
+    DIFFERENT = 1
     USAGE = 2
     INVALID = 3
     CONFLICT = 4
@@ -31,10 +35,11 @@
 
 
 EXIT_CODES_HELP = """
-Exit codes: 0 done; 1 the instance refused; 2 wrong usage; 3 the folder has
-errors or a log file cannot be read; 4 another operator changed the
-configuration first; 5 no instance answered; 6 accepted, but not yet in force
-everywhere; 7 no log line has the request's id.
+Exit codes: 0 done; 1 the instance refused, or check --against found
+differences; 2 wrong usage; 3 the folder has errors or a log file cannot be
+read; 4 another operator changed the configuration first; 5 no instance
+answered; 6 accepted, but not yet in force everywhere; 7 no log line has the
+request's id.
 """
 
 app = typer.Typer(
@@ -72,30 +77,84 @@
 
 
 @app.command()
-def check(folder: Folder, as_json: AsJson = False) -> None:
-    """Check a folder and print every error with file and line."""
-    loaded = folders.load_folder(folder)
+def check(
+    folder: Folder,
+    against: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Folder in force; show what differs from it."),
+    ] = None,
+    keys: typing.Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            help="Output of key list --json; check the teams' keys too."
+        ),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Check a folder and print every error and warning with file and line.
+
+    With --against, also print each field that differs and the effects on
+    callers; the exit code is then 1 if anything differs.
+    """
+    key_list = folders.load_keys(keys) if keys else folders.KeyList(None)
+    loaded = folders.load_folder(folder, key_list.keys)
+    problems = (*key_list.problems, *loaded.problems)
+    base = folders.load_folder(against) if against else None
+    base_problems = base.problems if base else ()
+    document: dict[str, typing.Any] = {
+        "ok": not problems and not base_problems,
+        "problems": [problem.to_json() for problem in problems],
+        "warnings": [warning.to_json() for warning in loaded.warnings],
+    }
+    differences: list[diffs.Difference] = []
+    found_effects: list[effects.Effect] = []
+    if base and base.configuration and loaded.configuration:
+        differences = list(
+            diffs.diff(
+                base.configuration.model_dump(mode="json"),
+                loaded.configuration.model_dump(mode="json"),
+            )
+        )
+        found_effects = list(
+            effects.find_effects(
+                base.configuration, loaded.configuration, key_list.keys
+            )
+        )
+    if base:
+        document |= {
+            "against_problems": [item.to_json() for item in base_problems],
+            "differences": [item.to_json() for item in differences],
+            "effects": [effect.to_json() for effect in found_effects],
+        }
     if as_json:
-        problems = [
-            {
-                "file": problem.file,
-                "line": problem.line,
-                "field": problem.field,
-                "message": problem.message,
-            }
-            for problem in loaded.problems
-        ]
-        print(json.dumps({"ok": not problems, "problems": problems}))
+        print(json.dumps(document))
     else:
-        for problem in loaded.problems:
-            print(problem)
-    if loaded.configuration is None:
-        _print_error(
-            f"{len(loaded.problems)} errors; correct them and check again"
-        )
+        _print_findings((*problems, *loaded.warnings))
+        _print_findings(base_problems, prefix=f"{against}: ")
+        _print_section("differences", differences)
+        _print_section("effects on callers", found_effects)
+    error_count = len(problems) + len(base_problems)
+    if error_count:
+        _print_error(f"{error_count} errors; correct them and check again")
         raise typer.Exit(Exit.INVALID)
     if not as_json:
         print("ok")
+    if differences:
+        raise typer.Exit(Exit.DIFFERENT)
+
+
+def _print_findings(
+    found: typing.Iterable[findings.Finding], prefix: str = ""
+) -> None:
+    for finding in found:
+        print(f"{prefix}{finding.render()}")
+
+
+def _print_section(heading: str, lines: typing.Sequence[object]) -> None:
+    if lines:
+        print(f"{heading}:")
+        for line in lines:
+            print(f"  {line}")
 
 
 @app.command()
@@ -217,6 +276,8 @@
         if answer.status not in (0, 503):
             break
     _require_success(answer)
+    for warning in answer.body.get("warnings", ()):
+        _print_error(f"warning: {warning['field']}: {warning['message']}")
     _print_in_force(answer.body, "configuration", as_json)
 
 
@@ -348,7 +409,7 @@
     loaded = folders.load_folder(folder)
     if loaded.configuration is None:
         for problem in loaded.problems:
-            _print_error(str(problem))
+            _print_error(problem.render())
         raise typer.Exit(Exit.INVALID)
     return loaded.configuration.model_dump(mode="json")
 
--- a/tests/test_command_lines.py
+++ b/tests/test_command_lines.py
@@ -79,7 +79,12 @@
     def test_check_accepts_an_example(self) -> None:
         result = _invoke(ctl.app, "check", "examples/bogota", "--json")
         assert result.exit_code == ctl.Exit.DONE
-        assert json.loads(result.output) == {"ok": True, "problems": []}
+        document = json.loads(result.output)
+        warnings = document.pop("warnings")
+        assert document == {"ok": True, "problems": []}
+        assert [(w["code"], w["field"]) for w in warnings] == [
+            ("team-rates-above-engines", "teams")
+        ]
 
     def test_check_reports_file_and_line_of_an_error(
         self, tmp_path: pathlib.Path
@@ -88,6 +93,7 @@
         result = _invoke(ctl.app, "check", str(tmp_path), "--json")
         assert result.exit_code == ctl.Exit.INVALID
         assert '"file": "a.yaml", "line": 2' in result.output
+        assert '"code": "invalid-name"' in result.output
 
     def test_missing_operator_key_is_wrong_usage(self) -> None:
         result = _invoke(ctl.app, "status")
