Return warnings from the operator port

Cause: the operator port checks an apply with the same functions as the command, but said nothing of what it accepts with doubts.

Change: the answer to an apply has the warnings, and each is logged. The keys of the fleet are checked too. Errors show their codes. Folders with warnings are accepted as before.

--- a/packages/cardamom-daemon/src/cardamom_daemon/operator_port.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/operator_port.py
@@ -10,6 +10,7 @@
 
 from cardamom_config import diffs
 from cardamom_config import folders
+from cardamom_config import plausibility
 from cardamom_daemon import changes
 from cardamom_daemon import fleet as fleets
 from cardamom_daemon import status
@@ -160,9 +161,9 @@
 
     async def _apply(self, request: web.Request) -> web.Response:
         body = ApplyBody.model_validate_json(await request.read())
-        loaded = folders.check_body(body.configuration)
+        loaded = folders.check_body(body.configuration, self._listed_keys())
         if loaded.configuration is None:
-            text = "; ".join(str(problem) for problem in loaded.problems)
+            text = "; ".join(problem.render() for problem in loaded.problems)
             raise outcomes.RequestRefused(
                 outcomes.Refusal(
                     outcomes.Code.INVALID_CONFIGURATION,
@@ -177,7 +178,23 @@
             body.based_on,
             body.apply_id,
         )
-        return _json_response(accepted)
+        warnings = [warning.to_json() for warning in loaded.warnings]
+        for warning in loaded.warnings:
+            LOG.warning(
+                "operator: configuration accepted with a warning",
+                code=warning.code.value,
+                field=warning.field,
+                reason=warning.message,
+            )
+        return _json_response({**accepted, "warnings": warnings})
+
+    def _listed_keys(self) -> list[plausibility.Key]:
+        return [
+            plausibility.Key(
+                record.id, record.team, record.id in self._fleet.withdrawn
+            )
+            for record in self._fleet.keyring.records()
+        ]
 
     async def _list_keys(self, _: web.Request) -> web.Response:
         keys = [
--- a/tests/test_configuration_checks.py
+++ b/tests/test_configuration_checks.py
@@ -1,5 +1,6 @@
 """Each finding and each effect of the check of a configuration."""
 
+import asyncio
 import copy
 import itertools
 import json
@@ -8,6 +9,7 @@
 import time
 import typing
 
+import aiohttp
 import hypothesis
 from hypothesis import strategies as st
 import orjson
@@ -29,6 +31,7 @@
 from cardamom_daemon import catalog
 from cardamom_daemon import keyring
 from cardamom_kernel import ids
+from tests import harness
 from tools import deployment
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -779,6 +782,49 @@
         assert RUNNER.invoke(ctl.app, arguments).exit_code == 3
 
 
+class TestOperatorPort:
+    """The port must report what the command reports."""
+
+    def test_warnings_are_accepted_and_errors_refused(self) -> None:
+        """A folder with warnings could be refused, or pass unmentioned."""
+
+        async def scenario() -> None:
+            async with harness.running_deployment(services=1) as running:
+                settings = running.instances[0].settings
+                url = f"http://127.0.0.1:{settings.operator_port}/v1/config"
+                headers = {"Authorization": f"Bearer {harness.OPERATOR_KEY}"}
+                async with aiohttp.ClientSession(headers=headers) as session:
+                    async with session.get(url) as response:
+                        current = await response.json()
+                    tree = current["configuration"]
+                    name, route = next(iter(tree["routes"].items()))
+                    route = {**route, "path": route["path"] + "/"}
+                    tree["routes"]["taking"] = route
+                    body = {
+                        "configuration": tree,
+                        "based_on": current["version"],
+                        "apply_id": "apply-warned",
+                    }
+                    async with session.put(url, json=body) as response:
+                        accepted = await response.json()
+                    assert response.status == 200, accepted
+                    assert accepted["version"] == current["version"] + 1
+                    assert ("route-shadowed", f"routes.{name}.path") in {
+                        (warning["code"], warning["field"])
+                        for warning in accepted["warnings"]
+                    }
+                    tree["routes"]["taking"] = tree["routes"][name]
+                    body["apply_id"] = "apply-refused"
+                    body["based_on"] = accepted["version"]
+                    async with session.put(url, json=body) as response:
+                        refused = await response.json()
+                    assert response.status == 422, refused
+                    message = refused["error"]["message"]
+                    assert "[error route-duplicate]" in message
+
+        asyncio.run(scenario())
+
+
 NAMES = st.sampled_from(["a", "b", "c", "A", ""])
 JUNK: st.SearchStrategy[typing.Any] = st.recursive(
     st.none()
