Refuse at once if loads queue for too long

Cause: the predicted wait for a model assumes that its load is ordered at once. When demand moves to many models, loads queue for the weight store and for engines, so requests were held for seconds and then refused.

Change: an instance learns from its own waits how long loads take to begin (median of the latest ones; waits given up count as longer than they lasted), apart for the store and disks and for urgent models, and adds this to the prediction. It fades without news, and the first request for a model is not refused for it. Refusals name the queue, Retry-After includes it, and cardamom_model_waits_total counts how waits end.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
@@ -125,6 +125,14 @@
         starts_ms = self._waiting.get(model, [])
         return [*starts_ms, caller[0]] if caller else starts_ms
 
+    def waits_since_ms(self, model: str) -> int | None:
+        """Return since when a request or a caller waits, None for none."""
+        return min(self._waits_since(model), default=None)
+
+    def is_urgent(self, model: str) -> bool:
+        """Return whether a model was ever urgent at this instance."""
+        return model in self._urgent_models
+
     def report(self, since_ms: int) -> dict[str, ModelDemand]:
         """Return the demand for models that are waited for or in use.
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -39,6 +39,12 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.model_waits = prometheus_client.Counter(
+            "cardamom_model_waits_total",
+            "Requests for a model that no target held, by how the wait ended.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -5,12 +5,11 @@
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_policy import dispatching
-from cardamom_policy import loading_waits
 from cardamom_policy import refusals
-from cardamom_policy import tiering
 
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
+from cardamom_gateway.requests import model_waits
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
 
@@ -139,19 +138,27 @@
             return records
         self._check_software(call)
         call.stage = admission.Stage.MODEL
+        wait = model_waits.ModelWait(
+            state,
+            call.service,
+            model_name,
+            may_learn=not call.tried_targets and call.software_version is None,
+        )
         with state.demand.waiting(model_name):
             self._report_waiting()
             while not records:
                 remaining_ms = wait_end_ms - state.clock.now_ms()
-                expected_ms = self._model_wait_ms(call, model_name)
+                expected = wait.predict()
                 if (
                     state.is_closing
                     or remaining_ms <= 0
-                    or self._excess_ms(call, expected_ms) > 0
+                    or self._excess_ms(call, expected.deciding_ms) > 0
                 ):
-                    raise self._not_loaded(call, model_name, expected_ms)
+                    wait.note_refused(expected)
+                    raise self._not_loaded(call, model_name, expected)
                 await state.targets.wait_for_change(remaining_ms)
                 records = self._untried(call, model_name)
+        wait.note_loaded()
         return records
 
     def _wait_end_ms(self, call: admission.Call) -> float:
@@ -235,32 +242,19 @@
             retry_after_ms=target_records.FIRST_SUSPECT_MS,
         )
 
-    def _model_wait_ms(self, call: admission.Call, model_name: str) -> float:
-        """Return the predicted wait in ms for a model that is not loaded."""
-        engine, registry = call.service.engine, self._state.targets
-        assert engine is not None
-        spec = engine.model_by_name[model_name]
-        return loading_waits.wait_ms(
-            tiering.ModelSize(
-                spec.memory_mb,
-                spec.host_load_ms,
-                spec.disk_load_ms,
-                spec.store_load_ms,
-            ),
-            loading_waits.first_due_ms(
-                registry.load_end_times_ms(call.service.id, model_name),
-                self._state.clock.now_ms(),
-            ),
-            registry.is_on_disk(call.service.id, model_name),
-        )
-
     def _not_loaded(
-        self, call: admission.Call, model_name: str, expected_ms: float
+        self,
+        call: admission.Call,
+        model_name: str,
+        expected: model_waits.Prediction,
     ) -> outcomes.RequestRefused:
+        expected_ms, queue_ms = expected.first_event_ms, expected.queue_ms
         message = (
             f"model {model_name} is not loaded on any target; "
             f"expected wait {expected_ms:.0f} ms"
         )
+        if queue_ms >= 1:
+            message += f", {queue_ms:.0f} ms of it until the load begins"
         if call.may_have_run:
             return target_failed(
                 call, f"{call.last_failure}; {message}", outcomes.Step.QUEUE
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -8,6 +8,7 @@
 from cardamom_kernel import tables
 from cardamom_kernel import trait_suspicion
 from cardamom_policy import fleet_windows
+from cardamom_policy import loading_waits
 from cardamom_policy import turns
 
 from cardamom_gateway.engines import demand
@@ -58,6 +59,7 @@
         )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
+        self.queue_times = loading_waits.QueueTimes()
         self.rates = fleet_windows.FleetWindow(settings.rate_window_ms, now_ms)
         self.turns = turns.Turns()
         self.requests = fleet_windows.FleetWindow(
