Treat routes of a higher priority as urgent

Cause: only an objective below 2.5 s makes a model urgent, so requests of priority 1 with an objective of 2,504 ms waited longer for their models than those of priority 2 with 1,204 ms.

Change: a route is urgent at a service, too, if its priority is higher than that of a route of the service with a short objective. The rule is in cardamom_policy.urgency; the line of a new configuration names the routes that it adds, and cardamom_urgent_by_priority_total counts their requests.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
@@ -7,8 +7,8 @@
 import typing
 
 from cardamom_kernel import clocks
+from cardamom_policy import urgency
 
-URGENT_OBJECTIVE_MS = 2_500  # a shorter objective leaves no time for a load
 MS_PER_PROMPT_TOKEN = 1 / 22  # prompt processing rate of the engines in use
 MS_PER_ANSWER_TOKEN = 0.4  # a step of 8 ms shared by some 20 requests
 RETRY_GRACE_MS = 500  # after the Retry-After that a caller got
@@ -26,7 +26,7 @@
 
     ``work_ms`` is the total work requested since the model was last idle, and
     ``period`` the number of times that it was; ``is_urgent`` tells whether a
-    request had a short objective.
+    request came by an urgent route.
     """
 
     work_ms: float
@@ -77,8 +77,13 @@
         prompt_tokens: int,
         answer_tokens: int,
         objective_ms: int,
+        is_preferred: bool = False,
     ) -> None:
-        """Add the estimated work of a request."""
+        """Add the estimated work of a request.
+
+        Its model is urgent if the objective is short, or if ``is_preferred``:
+        its route goes before one with a short objective.
+        """
         now_ms = self._clock.now_ms()
         if now_ms - self._requested_ms.get(model, now_ms) > IDLE_MS:
             self._work_ms[model] = 0
@@ -88,7 +93,7 @@
             + answer_tokens * MS_PER_ANSWER_TOKEN
         )
         self._requested_ms[model] = now_ms
-        if objective_ms < URGENT_OBJECTIVE_MS:
+        if is_preferred or urgency.is_short(objective_ms):
             self._urgent_models.add(model)
 
     @contextlib.contextmanager
@@ -254,5 +259,5 @@
         return name in self._seen_models
 
     def is_urgent(self, name: str) -> bool:
-        """Return whether a model was ever requested with a short objective."""
+        """Return whether a model was ever requested by an urgent route."""
         return name in self._urgent_models
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -461,6 +461,7 @@
                 "gateway: configuration in force",
                 version=configuration.version,
                 source=source,
+                urgent_by_priority=sorted(configuration.urgent_by_priority),
             )
 
     def _apply_target_changes(
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -45,6 +45,12 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.preferred = prometheus_client.Counter(
+            "cardamom_urgent_by_priority_total",
+            "Model requests that are urgent by their route's priority only.",
+            ("route",),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/model.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/model.py
@@ -10,6 +10,7 @@
 import typing
 
 from cardamom_kernel import ids
+from cardamom_policy import urgency
 
 ServiceId = typing.NewType("ServiceId", str)
 PartId = typing.NewType("PartId", str)
@@ -170,6 +171,20 @@
                 top[split.service] = min(priority, route.priority)
         return top
 
+    @functools.cached_property
+    def urgent_by_priority(self) -> frozenset[tuple[ids.RouteId, str]]:
+        """Return routes and services that are urgent by their priority only.
+
+        For the rule see ``urgency``.
+        """
+        return urgency.urgent_by_priority(
+            urgency.Claim(
+                route.id, split.service, route.objective_ms, route.priority
+            )
+            for route in self.routes
+            for split in route.splits
+        )
+
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -47,6 +47,8 @@
     ``part_digests`` are those of the parts of its prompt that other requests
     may share; ``is_urgent`` is whether no route to the service has a higher
     priority; with ``is_trial`` it runs although one of them is refused.
+    ``is_preferred`` is whether its objective is long, but its priority higher
+    than that of a route with a short one.
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
     were reached, and whose answer broke off.  ``relay`` is the peer through
@@ -67,6 +69,7 @@
     part_digests: tuple[str, ...]
     event_buffer: streams.EventBuffer
     is_urgent: bool = True
+    is_preferred: bool = False
     stage: Stage = Stage.TARGET
     is_trial: bool = False
     is_charged: bool = False
@@ -166,6 +169,8 @@
             event_buffer=streams.EventBuffer(head.last_event),
             is_urgent=route.priority
             <= configuration.top_priority_by_service[service.id],
+            is_preferred=(route.id, service.id)
+            in configuration.urgent_by_priority,
         )
         self._refuse_poison_request(call)
         self.refuse_crashing_part(call)
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -91,7 +91,10 @@
                 prompt_tokens,
                 call.head.answer_tokens,
                 call.route.objective_ms,
+                call.is_preferred,
             )
+            if call.is_preferred:
+                self._state.metrics.preferred.labels(call.route.id).inc()
         without_adapter: set[ids.TargetId] = set()
         while True:
             records = await self._targets_with_model(call, spec.name)
--- a/tests/gateway/test_demand.py
+++ b/tests/gateway/test_demand.py
@@ -128,6 +128,17 @@
         assert view.is_urgent("m1") and not view.is_urgent("m2")
         assert view.has_had_requests("m2") and not view.has_had_requests("m3")
 
+    def test_model_of_a_preferred_route_is_urgent(self) -> None:
+        """Those of less important routes would be loaded before it."""
+        clock = clocks.SteppedClock(1_000)
+        meter = demand.DemandMeter(clock)
+        view = demand.DemandView(clock)
+        meter.note("m1", 100, 10, 9_000, is_preferred=True)
+        meter.note("m2", 100, 10, 9_000)
+        view.receive("a@1", meter.report(0))
+        assert view.is_urgent("m1") and not view.is_urgent("m2")
+        assert meter.is_urgent("m1") and not meter.is_urgent("m2")
+
     def test_waiting_requests_are_reported_with_their_age(self) -> None:
         """A request that has ended must not count as waiting."""
         clock = clocks.SteppedClock(1_000)
--- a/tests/wire/test_gateway.py
+++ b/tests/wire/test_gateway.py
@@ -486,6 +486,34 @@
 class TestPlacement:
     """Models and adapters that are loaded on demand."""
 
+    @pytest.mark.parametrize(
+        ("priority", "is_urgent"), [(0, True), (1, False)]
+    )
+    def test_model_of_a_more_important_route_is_urgent(
+        self, priority: int, is_urgent: bool
+    ) -> None:
+        """Its objective of 2.5 s made it wait for less important ones."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            changed = standins.configuration(8)
+            chat = next(r for r in changed["routes"] if r["name"] == "chat")
+            chat |= {"target_latency_ms": 2_504, "priority": priority}
+            deployment.store.put("op", "config", changed)
+            state = deployment.gateways[0].state
+            await standins.wait_until(lambda: state.configuration.version == 8)
+            async with session.post(
+                deployment.url("/chat/a"),
+                headers=scenarios.headers(
+                    "a1", **scenarios.model_headers("m1")
+                ),
+            ) as answer:
+                assert answer.status == 200
+            assert state.demand.is_urgent("m1") is is_urgent
+
+        scenarios.run_scenario(scenario, plain=0, engines=1)
+
     def test_model_that_is_not_loaded_is_loaded_on_demand(self) -> None:
         """A request could fail, or orders could state a wrong number.
 
