--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -46,6 +46,18 @@
             ("outcome",),
             registry=self.registry,
         )
+        self.model_waits = prometheus_client.Counter(
+            "cardamom_model_waits_total",
+            "Requests for a model that no target held, by how the wait ended.",
+            ("outcome",),
+            registry=self.registry,
+        )
+        self.preferred = prometheus_client.Counter(
+            "cardamom_urgent_by_priority_total",
+            "Model requests that are urgent by their route's priority only.",
+            ("route",),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
