Pause the collector of cycles while a folder is parsed

Cause: the collector passed over the growing tree of a large folder again and again and found nothing: 0.35 s of 1.0 s.

Change: load_folder pauses it while files are parsed and then restores its state.

--- a/packages/cardamom-config/src/cardamom_config/folders.py
+++ b/packages/cardamom-config/src/cardamom_config/folders.py
@@ -4,7 +4,9 @@
 to correct it.
 """
 
+import contextlib
 import dataclasses
+import gc
 import json
 import pathlib
 import re
@@ -176,8 +178,9 @@
             "contains no .yaml or .toml file; add one",
         )
         return merge.result(None)
-    for file in files:
-        _merge_file(merge, file)
+    with _paused_collector():
+        for file in files:
+            _merge_file(merge, file)
     return _validate(merge, keys)
 
 
@@ -271,6 +274,22 @@
     return findings.Code.INVALID_VALUE, text
 
 
+@contextlib.contextmanager
+def _paused_collector() -> typing.Iterator[None]:
+    """Pause the collector of cycles, if it runs.
+
+    The parsed tree is all in use, so each pass over it finds nothing; with
+    4,000 routes these passes took a third of the time.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 def _merge_file(merge: _Merge, file: pathlib.Path) -> None:
     start = Position(file.name, 1)
     try:
