Require permits for cold targets, counted by their owners

Cause: targets crash if all instances together send them more than they bear after a start, and nothing reads how long they stay cold. Change: cold_targets keeps until when a target is cold, from its entries and answers and from TargetRecord.note_cold; TargetRecord.permit_need says whether and why a request needs a permit, also for retries, resumed streams and relays. The owner gives permits for cold targets only after a second as owner, by its part of the instances heard; an instance that is cut off keeps half of its part.

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -145,6 +145,7 @@
             self.link,
             self._base_update,
             lambda: state.is_stopping,
+            is_store_reached,
         )
 
     def gather_update(self, audience: peers.Audience) -> peers.StateUpdate:
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
@@ -200,7 +200,7 @@
             "POST",
             owner,
             "/permit",
-            dataclasses.asdict(request),
+            request.fields(),
             timeout_s=PERMIT_TIMEOUT_S,
         )
         return None if fields is None else int(fields["wait_ms"])
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -39,6 +39,7 @@
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import reachability
 from cardamom_gateway.targets import target_records
+from cardamom_gateway.targets import target_registry
 from cardamom_gateway.targets import target_watch
 
 LOG = structlog.get_logger("cardamom.gateway")
@@ -193,7 +194,6 @@
             self._group,
             self.peer_calls.ask_reach,
         )
-        self.relay = relaying.Relay(state, self.target_client)
         self.target_watch = target_watch.TargetWatch(
             state,
             self.target_client,
@@ -209,6 +209,10 @@
             self._group,
             self.peer_calls.ask_permit,
             self.peer_calls.report_permit_end,
+            state.metrics,
+        )
+        self.relay = relaying.Relay(
+            state, self.target_client, self.permit_client
         )
         self.forwarder = forwarding.Forwarder(
             state,
@@ -340,6 +344,9 @@
         start_periodic(
             "reachability", WATCH_PERIOD_MS, self.reachability.retry_targets
         )
+        start_periodic(
+            "permit owners", WATCH_PERIOD_MS, self.exchange.limits.observe
+        )
         start_periodic("catch-up", CATCH_UP_CHECK_PERIOD_MS, self._catch_up)
         start_periodic(
             "store watch", store_watch.CHECK_PERIOD_MS, self.store_watch.check
@@ -475,6 +482,11 @@
             and self.state.targets_version.number > 0
             and changes.version.era > self.state.targets_version.era
         )
+        is_after_outage = (
+            self.state.targets_version.number > 0
+            and self.clock.now_ms() - reachable_since_ms
+            < target_registry.RETURN_GRACE_MS
+        )
         self.state.set_targets_version(changes.version)
         for change in changes.changes:
             self._apply_target(
@@ -482,6 +494,7 @@
                 change.value,
                 reachable_since_ms,
                 is_from_older_copy,
+                is_after_outage,
             )
         if is_full:
             present = {ids.TargetId(change.key) for change in changes.changes}
@@ -493,6 +506,7 @@
         value: bytes | None,
         reachable_since_ms: int,
         is_from_older_copy: bool = False,
+        is_after_outage: bool = False,
     ) -> None:
         """Apply an entry, or its removal if the value is None.
 
@@ -511,7 +525,7 @@
             self.state.targets.remove(target_id, clocks.NEVER_MS)
             return
         if not (is_from_older_copy and self.state.targets.is_removed(target)):
-            self.state.targets.put(target)
+            self.state.targets.put(target, is_after_outage)
 
     def _apply_fleet_changes(
         self, changes: interfaces.Changes, is_full: bool
@@ -605,6 +619,8 @@
     ) -> None:
         """Record what the head of a target's answer says of the target."""
         self.exchange.limits.note_answer(record, answer)
+        if answer.warmup_ms:
+            record.cold.note_stated(self.clock.now_ms(), answer.warmup_ms)
         if answer.is_leaving:
             self.state.targets.note_stated_leaving(record)
         if answer.retry_after_ms:
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -33,6 +33,18 @@
             ("service", "ending"),
             registry=self.registry,
         )
+        self.permits = prometheus_client.Counter(
+            "cardamom_permits_total",
+            "Permits asked for by why they are needed and outcome.",
+            ("reason", "outcome"),
+            registry=self.registry,
+        )
+        self.cold_targets = prometheus_client.Counter(
+            "cardamom_cold_targets_total",
+            "Times that a target began to count as cold, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -51,7 +51,8 @@
     before the first event.  ``broken_targets`` are the tried targets that
     were reached, and whose answer broke off.  ``relay`` is the peer through
     which the latest attempt went, None if it went straight to the target;
-    ``tried_relays`` did not reach a target either.
+    ``tried_relays`` did not reach a target either.  ``has_permit`` is whether
+    the latest attempt has a permit.
     """
 
     request: web.BaseRequest
@@ -78,6 +79,7 @@
     broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     tried_relays: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     relay: peers.Member | None = None
+    has_permit: bool = False
     answer: web.StreamResponse | None = None
     first_byte_ms: int | None = None
     software_version: str | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -160,6 +160,7 @@
                 await self._state.clock.sleep_ms(error.wait_ms)
                 continue
             was_rejected = False
+            call.has_permit = permit is not None
             try:
                 return await self._try_target(call, record, choice)
             except attempts.AttemptFailed as failure:
@@ -185,12 +186,12 @@
         """
         while True:
             record, choice = await self._choice.select(call)
-            if not record.is_limited:
+            now_ms = self._state.clock.now_ms()
+            need = record.permit_need(now_ms)
+            if need is None:
                 return record, choice, None
             permit = await self._permits.acquire(
-                record,
-                call.is_urgent,
-                call.deadline_ms - self._state.clock.now_ms(),
+                record, call.is_urgent, call.deadline_ms - now_ms, need
             )
             if permit is None:
                 continue
@@ -427,7 +428,7 @@
             return await self._client.send(record, outgoing)
         return await self._client.send(
             record,
-            relaying.outgoing_through_relay(outgoing, record),
+            relaying.outgoing_through_relay(outgoing, record, call.has_permit),
             f"{relay.host}:{relay.port}",
         )
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
@@ -1,8 +1,10 @@
 """Relays requests of peers that can't reach a target themselves.
 
 The peer has admitted the request and chosen the target; it also retries,
-resumes streams and counts.  Here the request is only sent on, and the answer
-passed back as it comes.  A relayed request is never relayed again.
+resumes streams, counts and gets permits.  Here the request is only sent on,
+and the answer passed back as it comes.  A relayed request is never relayed
+again.  A peer that is cut off from the store may not know that a target is
+cold, so that a request without a permit gets one here.
 """
 
 import dataclasses
@@ -16,6 +18,7 @@
 
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
+from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.relaying")
@@ -24,8 +27,10 @@
 TARGET = "Relay-Target"
 TARGET_STARTED_MS = "Relay-Target-Started-Ms"
 NEEDS_NEW_CONNECTION = "Relay-New-Connection"
+HAS_PERMIT = "Relay-Permit"
 REQUEST_HEADERS = frozenset(
-    name.lower() for name in (TARGET, TARGET_STARTED_MS, NEEDS_NEW_CONNECTION)
+    name.lower()
+    for name in (TARGET, TARGET_STARTED_MS, NEEDS_NEW_CONNECTION, HAS_PERMIT)
 )
 
 
@@ -36,9 +41,11 @@
         self,
         state: state_module.GatewayState,
         client: attempts.TargetClient,
+        permits: permit_client.PermitClient,
     ) -> None:
         self._state = state
         self._client = client
+        self._permits = permits
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -53,10 +60,13 @@
         record = self._record(request)
         if record is None:
             return _not_connected("the target isn't known or is leaving")
+        outgoing = await self._outgoing_request(request)
+        if HAS_PERMIT not in request.headers and not (
+            await self._may_send(record)
+        ):
+            return _not_connected("the target is cold, and no permit is left")
         try:
-            response = await self._client.open(
-                record.target.address, await self._outgoing_request(request)
-            )
+            response = await self._client.open(record.target.address, outgoing)
         except attempts.AttemptFailed as failure:
             if failure.kind is attempts.FailureKind.NOT_CONNECTED:
                 record.record_connect_failure(self._state.clock.now_ms())
@@ -85,6 +95,23 @@
             return None
         return record
 
+    async def _may_send(self, record: target_records.TargetRecord) -> bool:
+        """Get a permit for a target that is cold; return whether that worked.
+
+        Stated limits are left to the peer, which has heard of them too.
+        """
+        now_ms = self._state.clock.now_ms()
+        need = record.permit_need(now_ms)
+        if need is None or need.cold is None:
+            return True
+        if record.permit_wait_ms(False, now_ms):
+            return False
+        need = dataclasses.replace(need, is_brittle=False)
+        permit = await self._permits.acquire(
+            record, is_urgent=False, remaining_ms=0, need=need
+        )
+        return permit is not None and self._state.targets.accepts(record)
+
     async def _outgoing_request(
         self, request: web.BaseRequest
     ) -> attempts.OutgoingRequest:
@@ -127,7 +154,9 @@
 
 
 def outgoing_through_relay(
-    outgoing: attempts.OutgoingRequest, record: target_records.TargetRecord
+    outgoing: attempts.OutgoingRequest,
+    record: target_records.TargetRecord,
+    has_permit: bool,
 ) -> attempts.OutgoingRequest:
     """Return a request in the form that is sent to a relay."""
     headers = [
@@ -137,6 +166,8 @@
     ]
     if outgoing.needs_new_connection:
         headers.append((NEEDS_NEW_CONNECTION, "1"))
+    if has_permit:
+        headers.append((HAS_PERMIT, "1"))
     return dataclasses.replace(
         outgoing, raw_path=PATH_PREFIX + outgoing.raw_path, headers=headers
     )
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -35,8 +35,8 @@
         super().__init__(
             outcomes.Refusal(
                 outcomes.Code.OVERLOADED,
-                f"{targets} targets, each at the limit that it states or "
-                "pausing",
+                f"{targets} targets, each cold, at the limit that it states "
+                "or pausing",
                 outcomes.Step.QUEUE,
                 not_run=True,
                 retry_after_ms=refusals.spread_retry_after_ms(wait_ms),
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -55,6 +55,9 @@
         self.targets = target_registry.TargetRegistry(
             clock, settings.data_centre
         )
+        self.targets.cold_rules.on_cold = lambda reason: (
+            self.metrics.cold_targets.labels(reason.value).inc()
+        )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
         self.rates = fleet_windows.FleetWindow(settings.rate_window_ms, now_ms)
@@ -111,6 +114,11 @@
             for service in configuration.service_by_id.values()
             if service.engine is not None
         }
+        self.targets.cold_rules.set_services(
+            configuration.service_by_id.values(),
+            self.settings.cold_overage,
+            self.settings.cold_tolerance,
+        )
         for listener in self._listeners:
             listener(configuration)
         return True
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -9,6 +9,7 @@
 from cardamom_kernel import tasks
 
 from cardamom_gateway.fleet import peers
+from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 
@@ -46,6 +47,7 @@
         group: tasks.TaskGroup,
         ask: PermitCall,
         report_end: PermitEndCall,
+        metrics: metrics_module.Metrics | None = None,
     ) -> None:
         self._instance = instance
         self._clock = clock
@@ -53,6 +55,7 @@
         self._group = group
         self._ask = ask
         self._report_end = report_end
+        self._metrics = metrics or metrics_module.Metrics()
         self._numbers = itertools.count()
 
     async def acquire(
@@ -60,22 +63,25 @@
         record: target_records.TargetRecord,
         is_urgent: bool,
         remaining_ms: float,
+        need: target_records.PermitNeed | None = None,
     ) -> Permit | None:
-        """Return a permit for a request to a target that states a limit.
+        """Return a permit for a request to a target that needs one.
 
         ``remaining_ms`` is the time to the request's deadline.  Without a
         permit the target is paused, and None is returned.
         """
-        limit = record.limit
-        assert limit is not None
+        need = need or record.permit_need(self._clock.now_ms())
+        assert need is not None
         request = target_limits.PermitRequest(
             incarnation=record.target.incarnation,
             permit=f"{self._instance}-{next(self._numbers)}",
-            rate_per_s=limit.rate_per_s,
-            is_brittle=limit.tolerated_rejections is not None,
+            rate_per_s=need.stated_rate_per_s,
+            is_brittle=need.is_brittle,
             slots=record.target.slots,
             is_urgent=is_urgent,
             expires_in_ms=int(remaining_ms) + EXPIRY_MARGIN_MS,
+            cold_rate_per_s=need.cold.rate_per_s if need.cold else None,
+            cold_burst=need.cold.burst if need.cold else None,
         )
         owner = self._limits.owner(request.incarnation)
         wait_ms = (
@@ -83,6 +89,14 @@
             if owner is None
             else await self._ask(owner, request)
         )
+        outcome = (
+            "no_answer"
+            if wait_ms is None
+            else "refused"
+            if wait_ms
+            else "given"
+        )
+        self._metrics.permits.labels(need.reason, outcome).inc()
         if wait_ms == 0:
             return Permit(request, owner)
         pause_ms = NO_ANSWER_PAUSE_MS if wait_ms is None else wait_ms
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -20,6 +20,7 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import rendezvous
+from cardamom_policy import cold_starts
 from cardamom_policy import permits
 from cardamom_policy import room as room_module
 
@@ -36,6 +37,20 @@
 BUCKET_RETENTION_MS = 60_000
 # Time after which there may be room again at a target.
 ROOM_WAIT_MS = 30
+# An instance counts for a cold target once it has been the target's owner for
+# so long.  Until then others may still take an earlier one for the owner: a
+# start reaches all instances within a second.
+SETTLING_MS = 1_000
+# Another owner may have been found while this instance didn't look for so
+# long, for instance because its process was suspended.
+MAX_OBSERVATION_GAP_MS = 1_000
+# Wait for the owner of a cold target's permits to be found by all.
+UNSETTLED_WAIT_MS = 100
+# Instances that were not heard for so long, about two remote periods, may be
+# on another side of a partition, which will count for itself.
+MAX_HEARD_AGE_MS = 2_200
+# Part of its share that an instance uses which can't know what is cold.
+CUT_OFF_RATIO = 0.5
 NOTHING: target_records.LimitValues = (None, None)
 
 
@@ -45,7 +60,8 @@
 
     ``permit`` is unique over all instances.  ``rate_per_s`` is None for a
     target without a limited rate; requests in flight are counted for one that
-    ``is_brittle``.  The permit then expires after ``expires_in_ms``.
+    ``is_brittle``.  The permit then expires after ``expires_in_ms``.  A cold
+    target has the bound of ``cold_rate_per_s`` and ``cold_burst``.
     """
 
     incarnation: str
@@ -55,6 +71,27 @@
     slots: int
     is_urgent: bool
     expires_in_ms: int
+    cold_rate_per_s: float | None = None
+    cold_burst: float | None = None
+
+    @property
+    def cold(self) -> cold_starts.ColdBound | None:
+        """Return the bound of a cold target, None for a warm one."""
+        if self.cold_rate_per_s is None or self.cold_burst is None:
+            return None
+        return cold_starts.ColdBound(self.cold_rate_per_s, self.cold_burst)
+
+    def fields(self) -> dict[str, typing.Any]:
+        """Return the fields of a message.
+
+        Earlier builds don't know those of cold targets, so they are left out
+        for warm ones.
+        """
+        return {
+            name: value
+            for name, value in dataclasses.asdict(self).items()
+            if value is not None or not name.startswith("cold_")
+        }
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +103,14 @@
     was_rejected: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class _View:
+    """The instances that could own targets, from a time on."""
+
+    since_ms: int
+    candidates: frozenset[ids.InstanceId]
+
+
 @dataclasses.dataclass
 class _Owned:
     """What the owner of a target counts."""
@@ -89,6 +134,7 @@
         link: peers.PeerLink,
         base_update: typing.Callable[[], peers.StateUpdate],
         is_stopping: typing.Callable[[], bool],
+        is_store_reached: typing.Callable[[], bool] = lambda: True,
     ) -> None:
         self._instance = instance
         self._clock = clock
@@ -96,7 +142,10 @@
         self._link = link
         self._base_update = base_update
         self._is_stopping = is_stopping
+        self._is_store_reached = is_store_reached
         self._owned_by_incarnation: dict[str, _Owned] = {}
+        self._observed_ms: int = clocks.NEVER_MS
+        self._views: list[_View] = []
 
     # What targets state.
 
@@ -193,6 +242,11 @@
         The caller takes this instance for the owner.
         """
         now_ms = self._clock.now_ms()
+        cold = request.cold
+        if cold is not None:
+            self._observe(now_ms)
+            if not self._is_settled_owner(request.incarnation, now_ms):
+                return UNSETTLED_WAIT_MS
         self._drop_unused(now_ms)
         owned = self._owned_by_incarnation.setdefault(
             request.incarnation,
@@ -210,10 +264,15 @@
             now_ms,
         ):
             return ROOM_WAIT_MS
-        if request.rate_per_s is None:
+        if request.rate_per_s is None and cold is None:
             return 0
         wait_ms = owned.bucket.take(
-            request.rate_per_s * self._share(), request.is_urgent, now_ms
+            math.inf
+            if request.rate_per_s is None
+            else request.rate_per_s * self._share(),
+            request.is_urgent,
+            now_ms,
+            cold and cold.scaled(self._cold_share(now_ms)),
         )
         if wait_ms > 0:
             owned.room.finish(request.permit, False, now_ms)
@@ -241,16 +300,80 @@
 
     def owner(self, incarnation: str) -> peers.Member | None:
         """Return the owner of a target's permits, None for this instance."""
-        member_by_id = {
+        member_by_id = self._member_by_id()
+        candidates = self._candidates(member_by_id)
+        owner = rendezvous.owners(incarnation, candidates)[0]
+        return member_by_id.get(owner)
+
+    def _member_by_id(self) -> dict[ids.InstanceId, peers.Member]:
+        """Return the other instances that may own targets."""
+        return {
             peer.member.id: peer.member
             for peer in self._link.fresh_peers()
             if not peer.update.get("st")
         }
-        candidates = list(member_by_id)
+
+    def _candidates(
+        self, others: typing.Iterable[ids.InstanceId]
+    ) -> list[ids.InstanceId]:
+        candidates = list(others)
         if not self._is_stopping() or not candidates:
             candidates.append(self._instance)
-        owner = rendezvous.owners(incarnation, candidates)[0]
-        return member_by_id.get(owner)
+        return candidates
+
+    async def observe(self) -> None:
+        """Note who may own targets, and whether this instance is cut off.
+
+        It is cut off if it hears no other instance and doesn't reach the
+        store, so that it can't know which targets are cold.
+        """
+        self._observe(self._clock.now_ms())
+        rules = self._targets.cold_rules
+        is_cut_off = not self._is_store_reached() and not (
+            self._link.fresh_peers()
+        )
+        if is_cut_off is not rules.is_cut_off and rules.by_service:
+            LOG.warning(
+                "limits: cut off",
+                is_cut_off=is_cut_off,
+                services=sorted(rules.by_service),
+            )
+        rules.is_cut_off = is_cut_off
+
+    def _observe(self, now_ms: int) -> None:
+        if now_ms - self._observed_ms > MAX_OBSERVATION_GAP_MS:
+            self._views = []
+        self._observed_ms = now_ms
+        candidates = frozenset(self._candidates(self._member_by_id()))
+        if not self._views or self._views[-1].candidates != candidates:
+            self._views.append(_View(now_ms, candidates))
+        while (
+            len(self._views) > 1
+            and self._views[1].since_ms <= now_ms - SETTLING_MS
+        ):
+            self._views.pop(0)
+
+    def _is_settled_owner(self, incarnation: str, now_ms: int) -> bool:
+        """Return whether this instance has owned a target for SETTLING_MS."""
+        return self._views[0].since_ms <= now_ms - SETTLING_MS and all(
+            rendezvous.owners(incarnation, view.candidates)[0]
+            == self._instance
+            for view in self._views
+        )
+
+    def _cold_share(self, now_ms: int) -> float:
+        """Return the part of a cold target's bound that may be used here.
+
+        Unlike stated limits, the parts of all sides of a partition add up to
+        the bound, since a target above it crashes.
+        """
+        heard = sum(
+            now_ms - peer.received_ms <= MAX_HEARD_AGE_MS
+            for peer in self._link.fresh_peers()
+        )
+        known = max(heard, len(self._link.member_by_id)) + 1
+        ratio = CUT_OFF_RATIO if self._targets.cold_rules.is_cut_off else 1.0
+        return ratio * (heard + 1) / known
 
     def _share(self) -> float:
         """Return the part of a limit that this side of a partition may use.
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -5,10 +5,12 @@
 import typing
 
 from cardamom_kernel import clocks
+from cardamom_policy import cold_starts
 from cardamom_policy import dispatching
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
+from cardamom_gateway.targets import cold_targets
 from cardamom_gateway.targets import pauses
 
 FAILURE_WEIGHT = 0.2  # of one outcome in the moving average of failures
@@ -74,6 +76,27 @@
         return self.values != (None, None)
 
 
+@dataclasses.dataclass(frozen=True)
+class PermitNeed:
+    """Why a request to a target needs a permit, and at which rate.
+
+    ``stated_rate_per_s`` is the limit that the target states, None for none.
+    ``cold`` is what a cold target may get, None for a warm one.  Requests in
+    flight are counted for a target that ``is_brittle``.
+    """
+
+    stated_rate_per_s: float | None
+    is_brittle: bool
+    cold: cold_starts.ColdBound | None
+
+    @property
+    def reason(self) -> str:
+        """Return the reason in one word, for counters."""
+        if self.cold is not None:
+            return "cold"
+        return "brittle" if self.stated_rate_per_s is None else "stated"
+
+
 class TargetRecord:
     """One target with its load, its failures and its holdings.
 
@@ -87,8 +110,16 @@
     first of the latest probes began, all of which failed.
     """
 
-    def __init__(self, target: model.Target, cache_tokens: int) -> None:
+    def __init__(
+        self,
+        target: model.Target,
+        cache_tokens: int,
+        cold: cold_targets.ColdState | None = None,
+    ) -> None:
         self.target = target
+        self.cold = cold or cold_targets.ColdState(
+            cold_targets.ColdRules(), target.service, target.id
+        )
         self.load = Load()
         self.load_by_peer: dict[str, PeerLoad] = {}
         self.holdings: holdings_module.Holdings | None = None
@@ -120,10 +151,25 @@
             and self.stated_leaving_ms is None
         )
 
-    @property
-    def is_limited(self) -> bool:
-        """Return whether requests to the target need a permit."""
-        return self.limit is not None and self.limit.is_stated
+    def permit_need(self, now_ms: int) -> PermitNeed | None:
+        """Return why a request to the target needs a permit now, if it does.
+
+        First attempts, retries, resumed streams and relayed requests alike
+        are sent only after this has been asked.
+        """
+        limit = self.limit if self.limit and self.limit.is_stated else None
+        cold = self.cold.bound(now_ms)
+        if limit is None and cold is None:
+            return None
+        return PermitNeed(
+            limit.rate_per_s if limit else None,
+            limit is not None and limit.tolerated_rejections is not None,
+            cold,
+        )
+
+    def note_cold(self, until_ms: int) -> None:
+        """Let the target count as cold until a time, whatever it states."""
+        self.cold.note_cold(until_ms)
 
     def pause_permits(self, until_ms: int, is_urgent: bool) -> None:
         """Record that there is no permit for a kind of request before."""
@@ -131,10 +177,10 @@
 
     def permit_wait_ms(self, is_urgent: bool, now_ms: int) -> int:
         """Return the ms until there may be a permit for a request."""
-        if not self.is_limited:
-            return 0
         until_ms = self._no_permit_until_ms.get(is_urgent, now_ms)
-        return max(0, until_ms - now_ms)
+        if until_ms <= now_ms or self.permit_need(now_ms) is None:
+            return 0
+        return until_ms - now_ms
 
     def wait_ms(self, is_urgent: bool, now_ms: int) -> int:
         """Return the ms until the target may take a request."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -11,6 +11,7 @@
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
+from cardamom_gateway.targets import cold_targets
 from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.targets")
@@ -48,6 +49,7 @@
         self._data_centre = data_centre
         self.by_id: dict[ids.TargetId, target_records.TargetRecord] = {}
         self.cache_tokens_by_service: dict[model.ServiceId, int] = {}
+        self.cold_rules = cold_targets.ColdRules()
         self._changed = asyncio.Event()
         self.on_leaving: typing.Callable[[model.Target], None] = _do_nothing
         self.on_software: typing.Callable[[model.ServiceId], None] = (
@@ -58,8 +60,12 @@
         self._removed_by_id: dict[ids.TargetId, tuple[int, model.Target]] = {}
         self._loaded_by_peer: dict[str, list[ids.TargetId]] = {}
 
-    def put(self, target: model.Target) -> None:
-        """Add or update a target; a restart begins a new record."""
+    def put(self, target: model.Target, is_after_outage: bool = False) -> None:
+        """Add or update a target; a restart begins a new record.
+
+        ``is_after_outage`` is whether the entry was read just after an outage
+        of the store.
+        """
         record = self.by_id.get(target.id)
         if (
             record is not None
@@ -76,7 +82,16 @@
             or record.target.address != target.address
         ):
             cache_tokens = self.cache_tokens_by_service.get(target.service, 0)
-            record = target_records.TargetRecord(target, cache_tokens)
+            cold = cold_targets.of_entry(
+                self.cold_rules,
+                target,
+                record.cold
+                if record and record.target.incarnation == target.incarnation
+                else None,
+                self._clock.now_ms(),
+                is_after_outage,
+            )
+            record = target_records.TargetRecord(target, cache_tokens, cold)
             self.by_id[target.id] = record
             LOG.info(
                 "targets: found",
@@ -92,6 +107,8 @@
             and target.entry_sequence > record.leaving_at_write
         ):
             record.leaving_at_write = None
+        if target.entry_sequence > record.target.entry_sequence:
+            record.cold.note_stated(self._clock.now_ms(), target.warmup_ms)
         if self._serves_again(record, target):
             record.stated_leaving_ms = None
         if target.state is not record.target.state:
