Load urgent models on warm engines

Cause: an urgent model on a cold engine waits for permits. Change: tiering prefers warm engines for urgent models, and takes a cold one only if no other can load the model.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
@@ -463,6 +463,7 @@
             reserved_for=engine_state.reserved_for
             if engine_state.reserved_until_ms > now_ms
             else "",
+            is_cold=record.cold.is_cold(now_ms),
         )
 
     def _describe_demand(self, name: str) -> tiering.Demand:
--- a/packages/cardamom-policy/src/cardamom_policy/tiering.py
+++ b/packages/cardamom-policy/src/cardamom_policy/tiering.py
@@ -145,7 +145,8 @@
     contents are certain.  Such an engine that is not free is executing an
     order, which should end in ``busy_ms``.  ``memory_mb`` is the memory for
     models, without the room for adapters.  ``reserved_for`` is the model for
-    which another one was unloaded.
+    which another one was unloaded.  An engine that ``is_cold`` bears only a
+    few requests a second for some seconds.
     """
 
     id: str
@@ -158,6 +159,7 @@
     busy_ms: float = 0.0
     loading: str = ""
     reserved_for: str = ""
+    is_cold: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -351,7 +353,10 @@
             ]
             if not with_room:
                 continue
-            engine = min(with_room, key=lambda e: self._load_ms(e, model))
+            engine = min(
+                self._preferred(model, with_room),
+                key=lambda e: self._load_ms(e, model),
+            )
             self._add_load(engine, model, "memory is free")
 
     def load_store_only_models(self) -> None:
@@ -397,6 +402,8 @@
             if model not in engine.by_model
             for cost, victim in self._load_options(engine, model, is_needed)
         ]
+        engines = self._preferred(model, [option[2] for option in options])
+        options = [option for option in options if option[2] in engines]
         if not options:
             return
         cost, _, engine, victim = min(options, key=lambda option: option[:2])
@@ -419,6 +426,12 @@
             return
         self._add_load(engine, model, reason)
 
+    def _preferred(self, model: str, engines: list[Engine]) -> list[Engine]:
+        """Return the warm engines for an urgent model, all if none is."""
+        if not self.situation.demand(model).is_urgent:
+            return engines
+        return [e for e in engines if not e.is_cold] or engines
+
     def _shortest_busy_wait_ms(self, model: str, is_needed: bool) -> float:
         """Return in how many ms a busy engine could have loaded the model.
 
--- a/tests/policy/test_tiering.py
+++ b/tests/policy/test_tiering.py
@@ -416,3 +416,29 @@
                 if arriving and draw.random() < 0.5:
                     models |= arriving
                     loading[name] = ""
+
+
+class TestColdEngines:
+    """Engines that bear only a few requests a second for a while."""
+
+    @pytest.mark.parametrize(
+        ("is_urgent", "expected"), [(True, "warm"), (False, "cold")]
+    )
+    def test_only_an_urgent_model_avoids_a_cold_engine(
+        self, is_urgent: bool, expected: str
+    ) -> None:
+        """Guards against urgent requests that wait for permits."""
+        demand = dataclasses.replace(HAS_WAITING, is_urgent=is_urgent)
+        engines = [
+            engine("cold", [], on_disk=["m1"], is_cold=True),
+            engine("warm", []),
+        ]
+        moves = tiering.plan(situation(engines, m1=demand))
+        assert next(m.engine for m in moves if m.model == "m1") == expected
+
+    def test_urgent_model_is_loaded_on_a_cold_engine_if_all_are(self) -> None:
+        """Guards against a model that nobody holds while engines are cold."""
+        demand = dataclasses.replace(HAS_WAITING, is_urgent=True)
+        engines = [engine("e1", [], on_disk=["m1"], is_cold=True)]
+        moves = tiering.plan(situation(engines, m1=demand))
+        assert [m.engine for m in moves if m.model == "m1"] == ["e1"]
