--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -63,6 +63,9 @@
         self.peer_figures = peer_figures.PeerFigures(
             clock, settings.data_centre
         )
+        self.targets.cold_rules.on_cold = lambda reason: (
+            self.metrics.cold_targets.labels(reason.value).inc()
+        )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
         self.queue_times = loading_waits.QueueTimes()
@@ -121,6 +124,11 @@
             for service in configuration.service_by_id.values()
             if service.engine is not None
         }
+        self.targets.cold_rules.set_services(
+            configuration.service_by_id.values(),
+            self.settings.cold_overage,
+            self.settings.cold_tolerance,
+        )
         for listener in self._listeners:
             listener(configuration)
         return True
