Let plain calls wait for room at targets that reject calls

Cause: an instance sends plain calls to targets without a free slot. They are rejected with 503 by one target after the other and then refused, while slots become free within some 15 ms.

Change: once a target of a service without engines has rejected a call, its calls go, for 10 s after the last rejection, to targets with a free slot by the known loads, and a target that has rejected one gets none for 40 ms. If there is no room they wait in a queue of at most 64 calls, the more urgent first, at most as long as the objective allows; then they are sent as before. A call may try a target again that was full. "rooms: target full" and cardamom_room_waits_total show it.

--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -51,6 +51,12 @@
             ("route",),
             registry=self.registry,
         )
+        self.room_waits = prometheus_client.Counter(
+            "cardamom_room_waits_total",
+            "Plain calls that found all targets full, by service and outcome.",
+            ("service", "outcome"),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -51,9 +51,10 @@
     than that of a route with a short one.
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
-    were reached, and whose answer broke off.  ``relay`` is the peer through
-    which the latest attempt went, None if it went straight to the target;
-    ``tried_relays`` did not reach a target either.
+    were reached, and whose answer broke off; ``full_targets`` had no room for
+    it.  ``relay`` is the peer through which the latest attempt went, None if
+    it went straight to the target; ``tried_relays`` did not reach a target
+    either.
     """
 
     request: web.BaseRequest
@@ -79,6 +80,7 @@
     failed_connections: int = 0
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    full_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     tried_relays: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     relay: peers.Member | None = None
     answer: web.StreamResponse | None = None
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -270,6 +270,8 @@
     ) -> None:
         state = self._state
         call.tried_targets.add(record.target.id)
+        if failure.is_rejection:
+            self._choice.rooms.note_rejected(call, record)
         relay = call.relay
         call.event_buffer.drop_incomplete()
         call.last_failure = str(failure)
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -10,6 +10,7 @@
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
 from cardamom_gateway.requests import model_waits
+from cardamom_gateway.requests import plain_rooms
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
 
@@ -64,6 +65,7 @@
         self._may_begin_stream = may_begin_stream
         self._load_adapter = load_adapter
         self._report_waiting = report_waiting
+        self.rooms = plain_rooms.PlainRooms(state)
 
     async def select(
         self, call: admission.Call
@@ -73,8 +75,11 @@
         Raises RequestRefused if there is none, or if it would answer too late.
         """
         if call.service.engine is None:
-            records = self._with_software(
-                call, self._state.targets.of_service(call.service.id)
+            records = await self.rooms.with_room(
+                call,
+                self._with_software(
+                    call, self._state.targets.of_service(call.service.id)
+                ),
             )
             return self._choose_record(call, records, None)
         spec = call.service.engine.model_by_name.get(call.head.model)
