--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -52,10 +52,10 @@
     than that of a route with a short one.
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
-    were reached, and whose answer broke off.  ``relay`` is the peer through
-    which the latest attempt went, None if it went straight to the target;
-    ``tried_relays`` did not reach a target either.  ``has_permit`` is whether
-    the latest attempt has a permit.
+    were reached, and whose answer broke off; ``full_targets`` had no room for
+    it.  ``relay`` is the peer through which the latest attempt went, None if
+    it went straight to the target; ``tried_relays`` did not reach a target
+    either.  ``has_permit`` is whether the latest attempt has a permit.
     """
 
     request: web.BaseRequest
@@ -81,6 +81,7 @@
     failed_connections: int = 0
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    full_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     tried_relays: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     relay: peers.Member | None = None
     has_permit: bool = False
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -13,6 +13,7 @@
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
 from cardamom_gateway.requests import model_waits
+from cardamom_gateway.requests import plain_rooms
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
@@ -75,6 +76,7 @@
         self._may_begin_stream = may_begin_stream
         self._load_adapter = load_adapter
         self._report_waiting = report_waiting
+        self.rooms = plain_rooms.PlainRooms(state)
 
     async def select(
         self, call: admission.Call
@@ -87,6 +89,7 @@
             records = self._with_software(call, self._allowed(call))
             if not records:
                 self._refuse_without_place(call)
+            records = await self.rooms.with_room(call, records)
             return self._choose_record(call, records, None)
         spec = call.service.engine.model_by_name.get(call.head.model)
         if spec is None:
--- a/tests/wire/test_evacuations.py
+++ b/tests/wire/test_evacuations.py
@@ -265,13 +265,12 @@
             evacuated.born_ms += 1  # a new record
             await deployment.register_and_wait(evacuated)
             records = gateway.state.targets.by_id
-            left_ms = (
-                records[evacuated.name].cold_until_ms - gateway.clock.now_ms()
-            )
-            assert 2_000 <= left_ms <= 3_000
-            assert (
-                records[deployment.replicas[0].name].cold_until_ms
-                < gateway.clock.now_ms()
+            now_ms = gateway.clock.now_ms()
+            returned = records[evacuated.name].cold
+            assert returned.is_cold(now_ms + 2_000)
+            assert not returned.is_cold(now_ms + 3_000)
+            assert not records[deployment.replicas[0].name].cold.is_cold(
+                now_ms
             )
 
         scenarios.run_scenario(scenario, plain=2, engines=0)
