Ask the record whether plain calls need a permit

Cause: the record of a target answers with permit_need since cold targets need permits, too. Change: plain_rooms uses it.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/plain_rooms.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/plain_rooms.py
@@ -40,13 +40,13 @@
 
         The call may be sent there again once it has room.
         """
+        now_ms = self._state.clock.now_ms()
         if (
             call.service.engine is not None
-            or record.is_limited
+            or record.permit_need(now_ms) is not None
             or record.target.slots <= 0  # it states no bound
         ):
             return
-        now_ms = self._state.clock.now_ms()
         self._full[call.service.id].note_rejected(record.target.id, now_ms)
         call.full_targets.add(record.target.id)
         LOG.info(
