Learn the pace of each target and multiply predictions by slow ones

Cause: 11 of 49 targets became four times slower for 6 s, and 532 of 13,800 requests ran there until their deadline; predictions know one speed only. Change: policy.speeds averages actual to predicted times of first events and plain answers, without the wait before sending, what others have sent unseen, the median of the service and answers read late; slow paces are sent to peers under the key sp (w is taken by forwarded broadcasts).

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/delays.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/delays.py
@@ -20,6 +20,8 @@
 MS_PER_S = 1000
 # A shorter delay than this is not reported before the next regular report.
 REPORTED_DELAY_MS = 200
+# Below it, the loop's lag doesn't matter for the times of answers.
+MIN_LAG_MS = 50
 REPORT_PERIOD_MS = 5_000
 DELAYED_REPORT_PERIOD_MS = 1_000
 # Clocks of two machines drift apart by a few ms in this time.
@@ -84,6 +86,8 @@
         self._by_peer: dict[str, QueueingDelay] = {}
         self._traffic = Traffic()
         self._loop_lag_ms = 0
+        self._checked_ms: int | None = None
+        self._lagged_ms: int = clocks.NEVER_MS
         self._reported_ms: int = clock.now_ms()
 
     def note_sent(
@@ -118,13 +122,27 @@
     async def run(self) -> None:
         """Measure the event loop's lag and report until cancelled."""
         while True:
-            started_ms = self._clock.now_ms()
+            started_ms = self._checked_ms = self._clock.now_ms()
             await asyncio.sleep(LAG_CHECK_PERIOD_MS / MS_PER_S)
             lag_ms = self._clock.now_ms() - started_ms - LAG_CHECK_PERIOD_MS
             self._metrics.loop_lag.observe(max(0, lag_ms) / MS_PER_S)
             self._loop_lag_ms = max(self._loop_lag_ms, lag_ms)
+            if lag_ms >= MIN_LAG_MS:
+                self._lagged_ms = self._clock.now_ms()
             self.report_if_due()
 
+    def has_lagged(self, since_ms: int) -> bool:
+        """Return whether the event loop has been late since a time.
+
+        A loop that resumes now may not have resumed the measurement yet.
+        """
+        if self._checked_ms is None:
+            return False
+        overdue_ms = (
+            self._clock.now_ms() - self._checked_ms - LAG_CHECK_PERIOD_MS
+        )
+        return self._lagged_ms >= since_ms or overdue_ms >= MIN_LAG_MS
+
     def report_if_due(self) -> None:
         """Log the delays and the traffic since the last report, if due."""
         elapsed_ms = self._clock.now_ms() - self._reported_ms
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/digests.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/digests.py
@@ -32,7 +32,7 @@
 MAX_ENTRIES = 300  # in one message of about 30 KB
 MAX_DECODED_BYTES = 1 << 22
 # Fields that count only in the latest message of an instance.
-STATE_FIELDS = tuple("n u z up cv tv te store rd st ct o t".split())
+STATE_FIELDS = tuple("n u z up cv tv te store rd st ct o t sp".split())
 # Fields that an instance leaves out while they are unchanged.
 COUNT_FIELDS = ("q", "r", "p", "l")
 # Fields that have the same value at most instances, and are sent once for all.
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -17,6 +17,7 @@
 | ``b``, ``bc`` | the same for parts of prompts |
 | ``g`` | targets that are leaving or removed |
 | ``t`` | limits that targets have stated: start, rate, age |
+| ``sp`` | slow targets: start; kind, pace, answers, age of the last answer |
 | ``st`` | whether the instance is stopping |
 | ``ct`` | whether the instance is cut off from targets |
 | ``e`` | counts of rates by ended incarnation, for one that has just started |
@@ -47,6 +48,7 @@
 from cardamom_gateway.targets import leaving_reports
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
+from cardamom_gateway.targets import target_speeds
 
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
 MIN_START_GAP_MS = 4_000  # processes restarted together start within it
@@ -83,6 +85,7 @@
         self._is_store_reached = is_store_reached
         self._is_store_reader = is_store_reader
         self._receive_relayed = receive_relayed
+        state.speeds.has_lagged = monitor.has_lagged
         self._started_ms = state.clock.now_ms()
         self._is_rate_report_pending = False
         # The highest fencing number that a holder of the lease has told of.
@@ -174,6 +177,9 @@
             for target_id, record in state.targets.by_id.items()
             if record.load.running
         }
+        slow = state.speeds.export()
+        if slow:
+            update[target_speeds.FIELD] = slow
         limits = self.limits.export()
         if limits:
             update["t"] = limits
@@ -243,6 +249,7 @@
         self.leaving.receive(update)
         self.origins.receive(update)
         self.limits.receive(update)
+        state.speeds.receive(incarnation, update, age_ms)
         if "l" in update:
             self._receive_load(incarnation, update["l"], age_ms)
             state.peer_figures.note(
--- a/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/metrics.py
@@ -40,6 +40,21 @@
             ("service", "choice"),
             registry=self.registry,
         )
+        self.slow_targets = prometheus_client.Counter(
+            "cardamom_slow_targets_total",
+            "Times at which a target was found to be slow by service and kind"
+            " of request.",
+            ("service", "kind"),
+            registry=self.registry,
+        )
+        self.prediction_ratio = prometheus_client.Histogram(
+            "cardamom_prediction_ratio",
+            "Actual to predicted time from sending to the first event of a"
+            " stream, or to a plain answer.",
+            ("kind",),
+            buckets=(0.5, 0.75, 1, 1.5, 2, 3, 4, 6, 8, 12),
+            registry=self.registry,
+        )
         self.orders = prometheus_client.Counter(
             "cardamom_orders_total",
             "Orders to engines by kind and outcome.",
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -304,6 +304,10 @@
     return trace
 
 
+def _ignore(sent_ms: int, has_come: bool) -> None:
+    """Serve as default for ``on_first_event``."""
+
+
 class Attempt:
     """An attempt in flight, which ``give_up`` can end from another task.
 
@@ -333,6 +337,9 @@
         self.model_and_adapter = model_and_adapter
         self.fingerprint = fingerprint
         self.started_ms = clock.now_ms()
+        self.sent_ms: int | None = None
+        # Called once with the time of sending and whether the event came.
+        self.on_first_event: typing.Callable[[int, bool], None] = _ignore
         self.last_read_ms = self.started_ms
         self.response: aiohttp.ClientResponse | None = None
         self.is_given_up = False
@@ -357,7 +364,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         """Remove the attempt from the load; close an unfinished answer."""
-        self.note_first_event()
+        self._end_wait(has_come=False)
         self.record.load.running -= 1
         self.record.load.by_model_and_adapter[self.model_and_adapter] -= 1
         self.record.attempts.discard(self)
@@ -366,9 +373,19 @@
 
     def note_first_event(self) -> None:
         """Record that the target has processed the prompt."""
+        self._end_wait(has_come=True)
+
+    def note_sent(self) -> None:
+        """Record that the request has left, on a connection."""
+        self.sent_ms = self._clock.now_ms()
+
+    def _end_wait(self, has_come: bool) -> None:
+        is_first = self.first_event_ms == clocks.FOREVER_MS
         self.record.load.prefill_tokens -= self._prefill_tokens
         self._prefill_tokens = 0
         self.first_event_ms = min(self.first_event_ms, self._clock.now_ms())
+        if is_first and self.sent_ms is not None:
+            self.on_first_event(self.sent_ms, has_come)
 
     @property
     def may_have_crashed_target(self) -> bool:
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -13,6 +13,7 @@
 from cardamom_platform import answer_bodies
 from cardamom_policy import dispatching
 from cardamom_policy import refusals
+from cardamom_policy import speeds
 
 from cardamom_gateway.fleet import suspect_reports
 from cardamom_gateway import interfaces
@@ -27,6 +28,7 @@
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import reachability
 from cardamom_gateway.targets import target_records
+from cardamom_gateway.targets import target_speeds
 
 LOG = structlog.get_logger("cardamom.gateway.forward")
 
@@ -358,6 +360,8 @@
             outlasts_silence=call.route.kind is not model.CallKind.IDEMPOTENT,
         )
         call.relay = attempt.relay
+        kind = target_speeds.kind_of(call.service, call.route)
+        state.speeds.watch(attempt, kind, choice)
         sent_ms = state.clock.now_ms()
         call.stage = admission.Stage.CONNECTION
         call.sent_attempts += 1
@@ -370,6 +374,8 @@
                 attempt.response = await self._send(call, attempt)
                 call.stage = admission.Stage.BODY
                 attempt.note_received()
+                if kind is speeds.Kind.PLAIN:
+                    attempt.note_first_event()
                 if attempt.relay is None:
                     record.record_connect_success(state.clock.now_ms())
                 answer = await self._relay_answer(call, attempt)
@@ -412,6 +418,7 @@
             sent=call.sent_attempts,
             predicted_ms=round(choice.first_event_ms),
             near_equal=choice.near_equal,
+            pace=round(choice.pace, 1),
             waited_ms=sent_ms - call.arrived_ms,
             first_ms=(call.first_byte_ms or now_ms) - call.arrived_ms,
             took_ms=now_ms - call.arrived_ms,
@@ -423,7 +430,7 @@
     ) -> aiohttp.ClientResponse:
         """Send an attempt's request to the target, or through its relay."""
         record, relay = attempt.record, attempt.relay
-        outgoing = self._outgoing_request(call, record)
+        outgoing = self._outgoing_request(call, attempt)
         if relay is None:
             return await self._client.send(record, outgoing)
         return await self._client.send(
@@ -433,9 +440,9 @@
         )
 
     def _outgoing_request(
-        self, call: admission.Call, record: target_records.TargetRecord
+        self, call: admission.Call, attempt: attempts.Attempt
     ) -> attempts.OutgoingRequest:
-        request = call.request
+        request, record = call.request, attempt.record
         remaining_ms = call.deadline_ms - self._state.clock.now_ms()
         forwarding_fields = interfaces.ForwardingFields(
             target=record.target.id,
@@ -453,7 +460,7 @@
             body=call.body,
             attempt=call.head.attempt,
             needs_new_connection=not call.route.is_retryable,
-            on_sent=lambda: _note_sent(call),
+            on_sent=lambda: _note_sent(call, attempt),
         )
 
     async def _relay_answer(
@@ -565,5 +572,6 @@
     return asyncio.get_running_loop().time() + stall_ms / MS_PER_S
 
 
-def _note_sent(call: admission.Call) -> None:
+def _note_sent(call: admission.Call, attempt: attempts.Attempt) -> None:
+    attempt.note_sent()
     call.stage = admission.Stage.ANSWER
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -16,6 +16,7 @@
 from cardamom_gateway import settings as settings_module
 from cardamom_gateway.targets import peer_figures
 from cardamom_gateway.targets import target_registry
+from cardamom_gateway.targets import target_speeds
 
 OVERAGE_RATIO = 0.6  # share of the allowed rate overage that is used
 SETTLED_OVERAGE_RATIO = 0.75  # the same while all members report
@@ -59,6 +60,9 @@
         self.peer_figures = peer_figures.PeerFigures(
             clock, settings.data_centre
         )
+        self.speeds = target_speeds.TargetSpeeds(
+            clock, self.targets, self.metrics
+        )
         self.demand = demand.DemandMeter(clock)
         self.demand_view = demand.DemandView(clock)
         self.rates = fleet_windows.FleetWindow(settings.rate_window_ms, now_ms)
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -7,6 +7,7 @@
 from cardamom_kernel import clocks
 from cardamom_policy import dispatching
 from cardamom_policy import even_load
+from cardamom_policy import speeds
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
@@ -97,6 +98,7 @@
         self.load_end_ms: int = clocks.NEVER_MS
         self.prefix_cache = dispatching.PrefixCacheEstimate(cache_tokens)
         self.sends = even_load.SendMeter()
+        self.pace_by_kind = {kind: speeds.Pace() for kind in speeds.Kind}
         self.failure_ratio = 0.0
         self.suspect_until_ms: int = clocks.NEVER_MS
         self.suspect_ms = FIRST_SUSPECT_MS
@@ -218,6 +220,11 @@
             if now_ms - load.at_ms <= MAX_PEER_LOAD_AGE_MS
         )
 
+    def pace(self, resident: str, now_ms: int) -> float:
+        """Return the pace for requests of a model, "" for plain calls."""
+        kind = speeds.Kind.STREAM if resident else speeds.Kind.PLAIN
+        return self.pace_by_kind[kind].factor(now_ms)
+
     def note_outcome(self, has_failed: bool) -> None:
         """Add the outcome of one request to the failure average."""
         outcome = 1.0 if has_failed else 0.0
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -416,6 +416,7 @@
                 failure_ratio=record.failure_ratio,
                 is_relayed=record.is_relayed,
                 sent_rate=record.sends.rate(now_ms),
+                pace=record.pace(head.model, now_ms),
             )
             for record in trusted or usable
         ]
--- a/packages/cardamom-policy/src/cardamom_policy/dispatching.py
+++ b/packages/cardamom-policy/src/cardamom_policy/dispatching.py
@@ -47,7 +47,8 @@
     it is; ``failure_ratio`` is the share of recent requests that failed, from
     0 to 1; ``is_relayed`` is whether requests reach it through a peer;
     ``sent_rate`` is the work that this instance sends to it, in ms of
-    predicted time a ms.
+    predicted time a ms; ``pace`` is how many times slower than others it is,
+    see ``speeds``.
     """
 
     id: ids.TargetId
@@ -60,6 +61,7 @@
     failure_ratio: float = 0.0
     is_relayed: bool = False
     sent_rate: float = 0.0
+    pace: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,17 +69,38 @@
     """The chosen replica and its predicted time to the first event.
 
     ``near_equal`` is the number of replicas among which it was chosen at
-    random, 1 if it was the cheapest.
+    random, 1 if it was the cheapest.  ``unpaced_ms`` is the predicted time
+    from sending the request to a replica of normal speed, with what others
+    are expected to have sent unseen, and ``pace`` that of the chosen one.
     """
 
     id: ids.TargetId
     first_event_ms: float
     needs_adapter: bool
     near_equal: int = 1
+    unpaced_ms: float = 0.0
+    pace: float = 1.0
 
 
 def first_event_ms(candidate: Candidate, prompt_tokens: int) -> float:
     """Predict the time to the first event of a stream, in milliseconds."""
+    return (
+        candidate.pace * _unpaced_ms(candidate, prompt_tokens)
+        + candidate.adapter_ms
+    )
+
+
+def plain_answer_ms(candidate: Candidate) -> float:
+    """Predict the time to the answer of a plain call, in milliseconds."""
+    return candidate.pace * _unpaced_ms(candidate, None)
+
+
+def _unpaced_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
+    """Predict the time from sending, for a replica of normal speed."""
+    if prompt_tokens is None:
+        return PLAIN_CALL_MS * (
+            1 + candidate.running / max(1, candidate.slots)
+        )
     uncached_tokens = max(0, prompt_tokens - candidate.cached_tokens)
     prefill_ms = (
         candidate.prefill_tokens + uncached_tokens
@@ -87,15 +110,9 @@
         prefill_ms
         + candidate.running * DELAY_MS_PER_RUNNING_REQUEST
         + queued * PLAIN_CALL_MS
-        + candidate.adapter_ms
     )
 
 
-def plain_answer_ms(candidate: Candidate) -> float:
-    """Predict the time to the answer of a plain call, in milliseconds."""
-    return PLAIN_CALL_MS * (1 + candidate.running / max(1, candidate.slots))
-
-
 def request_ms(slots: int, prompt_tokens: float | None) -> float:
     """Return by how many ms a request raises the predictions for later ones.
 
@@ -118,8 +135,15 @@
     ``prompt_tokens`` is None for a plain call (without a prompt).  Local
     replicas that meet the objective with a margin go before any others.
     With ``figures`` that are stale, and a random ``source``, one of the
-    replicas that are near-equal to the cheapest is returned.
+    replicas that are near-equal to the cheapest is returned.  A slow replica
+    that would miss the objective is left to requests without any other.
     """
+    candidates = [
+        candidate
+        for candidate in candidates
+        if candidate.pace == 1
+        or _predicted_ms(candidate, prompt_tokens) <= objective_ms
+    ] or candidates
     local_limit_ms = objective_ms * LOCAL_OBJECTIVE_FRACTION
     fast_local = [
         candidate
@@ -135,9 +159,9 @@
     )
     if best is None:
         return None
-    near_equal = 1
+    near_equal, unseen_ms = 1, 0.0
     if source is not None and figures.others:
-        best, near_equal = _choose_near_equal(
+        best, near_equal, unseen_ms = _choose_near_equal(
             best,
             eligible,
             prompt_tokens,
@@ -150,6 +174,10 @@
         _predicted_ms(best, prompt_tokens),
         best.adapter_ms > 0,
         near_equal,
+        _unpaced_ms(best, prompt_tokens)
+        + unseen_ms
+        + (0.0 if best.is_local else REMOTE_COST_MS),
+        best.pace,
     )
 
 
@@ -160,8 +188,12 @@
     objective_ms: float,
     figures: even_load.Figures,
     source: random.Random,
-) -> tuple[Candidate, int]:
-    """Return a replica near-equal to the best, and the number of these."""
+) -> tuple[Candidate, int, float]:
+    """Return a replica near-equal to the best, and the number of these.
+
+    The last value is the time in ms that a replica of normal speed needs for
+    what others are expected to have sent to the chosen one.
+    """
     max_fixed_ms = _fixed_ms(best, prompt_tokens) + FIXED_COST_TOLERANCE_MS
     comparable = [
         candidate
@@ -175,8 +207,9 @@
         _request_ms(best, prompt_tokens),
         figures,
     )
+    unseen_ms = requests * _request_ms(best, prompt_tokens) / best.pace
     if len(comparable) == 1 or requests < 1:
-        return best, 1
+        return best, 1, unseen_ms
     spare = even_load.spare_requests(
         [
             even_load.Option(
@@ -190,24 +223,29 @@
     )
     picked = even_load.pick(spare, source)
     if picked is None:
-        return best, 1
-    return comparable[picked], sum(weight > 0 for weight in spare)
+        return best, 1, unseen_ms
+    unseen_ms *= spare[picked] / sum(spare)
+    return comparable[picked], sum(weight > 0 for weight in spare), unseen_ms
 
 
 def _request_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
-    if prompt_tokens is None:
-        return request_ms(candidate.slots, None)
-    return request_ms(
-        candidate.slots, max(0, prompt_tokens - candidate.cached_tokens)
+    uncached_tokens = (
+        None
+        if prompt_tokens is None
+        else max(0, prompt_tokens - candidate.cached_tokens)
     )
+    return candidate.pace * request_ms(candidate.slots, uncached_tokens)
 
 
 def _fixed_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
     """Return the part of the cost that doesn't depend on the load."""
-    fixed_ms = candidate.failure_ratio * FAILURE_COST_MS + candidate.adapter_ms
-    if prompt_tokens is None:
-        return fixed_ms
-    return fixed_ms + _request_ms(candidate, prompt_tokens)
+    run_ms = (
+        candidate.pace * PLAIN_CALL_MS
+        if prompt_tokens is None
+        else _request_ms(candidate, prompt_tokens)
+    )
+    failure_ms = candidate.failure_ratio * FAILURE_COST_MS
+    return run_ms + failure_ms + candidate.adapter_ms
 
 
 def _predicted_ms(candidate: Candidate, prompt_tokens: int | None) -> float:
--- a/tests/policy/test_even_load.py
+++ b/tests/policy/test_even_load.py
@@ -20,6 +20,7 @@
 from cardamom_kernel import ids
 from cardamom_policy import dispatching
 from cardamom_policy import even_load
+from cardamom_policy import speeds
 
 OBJECTIVE_MS = 1_000.0
 PLAYED_MS = 6_000
@@ -145,8 +146,13 @@
     """Instances that choose targets by reported load, on stepped time."""
 
     def __init__(
-        self, scenario: Scenario, is_random: bool, seed: int = 1
+        self,
+        scenario: Scenario,
+        is_random: bool,
+        seed: int = 1,
+        has_paces: bool = True,
     ) -> None:
+        self._has_paces = has_paces
         self._scenario = scenario
         self._source = random.Random(seed)
         self._is_random = is_random
@@ -165,6 +171,10 @@
             [even_load.SendMeter() for _ in range(count)] for _ in instances
         ]
         self._reported_ms = [0.0] * scenario.instances
+        self._paces = [
+            [speeds.Pace() for _ in range(count)] for _ in instances
+        ]
+        self._common = [speeds.CommonRatio() for _ in instances]
 
     def play(self) -> Played:
         """Run the scenario and return what was seen."""
@@ -184,7 +194,8 @@
             at(now + source.expovariate(rate), arrive)
             tokens = int(scenario.mean_tokens * size(source))
             instance = source.randrange(scenario.instances)
-            target = self._choose(instance, tokens, now)
+            choice = self._choose(instance, tokens, now)
+            target = int(choice.id[1:])
             speed = self._speeds[target]
             if scenario.slow_ms and now >= scenario.slow_ms and not target % 8:
                 speed /= 4
@@ -196,6 +207,8 @@
                 dispatching.request_ms(64, tokens), int(now)
             )
             at(free, lambda _: self._add(instance, target, 0, -tokens))
+            ratio = speeds.ratio(free - now, choice.unpaced_ms)
+            at(free, lambda _: self._learn(instance, target, ratio, int(free)))
             at(
                 free + DECODE_MS,
                 lambda _: self._add(instance, target, -1, 0),
@@ -208,9 +221,15 @@
         def report(instance: int) -> typing.Callable[[float], None]:
             def send(now: float) -> None:
                 load = [list(row) for row in self._own[instance]]
+                slow = speeds.slowest(
+                    {
+                        target: pace.learned(int(now))
+                        for target, pace in enumerate(self._paces[instance])
+                    }
+                )
                 at(
                     now + scenario.delay_ms,
-                    lambda _: self._receive(instance, load, now),
+                    lambda _: self._receive(instance, load, slow, now),
                 )
                 at(now + scenario.period_ms, send)
 
@@ -246,16 +265,33 @@
         self._own[instance][target][0] += running
         self._own[instance][target][1] += tokens
 
+    def _learn(
+        self, instance: int, target: int, ratio: float, now_ms: int
+    ) -> None:
+        if self._has_paces:
+            relative = self._common[instance].note(ratio)
+            self._paces[instance][target].note(relative, now_ms)
+
     def _receive(
-        self, instance: int, load: list[list[float]], at_ms: float
+        self,
+        instance: int,
+        load: list[list[float]],
+        slow: dict[int, speeds.Report],
+        at_ms: float,
     ) -> None:
+        for target, pace in slow.items():
+            for other, paces in enumerate(self._paces):
+                if other != instance:
+                    paces[target].receive(str(instance), pace, int(at_ms))
         for total, old, new in zip(self._total, self._seen[instance], load):
             total[0] += new[0] - old[0]
             total[1] += new[1] - old[1]
         self._seen[instance] = load
         self._reported_ms[instance] = at_ms
 
-    def _choose(self, instance: int, tokens: int, now: float) -> int:
+    def _choose(
+        self, instance: int, tokens: int, now: float
+    ) -> dispatching.Choice:
         own, seen = self._own[instance], self._seen[instance]
         count = self._scenario.targets
         if now < self._scenario.joining_ms:
@@ -268,6 +304,7 @@
                 prefill_tokens=self._total[i][1] - seen[i][1] + own[i][1],
                 is_local=True,
                 sent_rate=self._sends[instance][i].rate(int(now)),
+                pace=self._paces[instance][i].factor(int(now)),
             )
             for i in range(count)
         ]
@@ -281,7 +318,7 @@
             self._source if self._is_random else None,
         )
         assert choice is not None
-        return int(choice.id[1:])
+        return choice
 
 
 SCENARIOS = (
@@ -305,16 +342,40 @@
         self, scenario: Scenario
     ) -> None:
         """Guards against instances that all take the same target."""
+        played = Fleet(scenario, is_random=True, has_paces=False).play()
+        assert statistics.median(played.ratios) <= max_ratio(scenario)
+        assert played.rare_queue_ms <= max_queue_ms(scenario)
+
+    @pytest.mark.parametrize("scenario", SCENARIOS, ids=str)
+    def test_paces_keep_the_bounds_while_no_target_is_slow(
+        self, scenario: Scenario
+    ) -> None:
+        """Guards against queues that are taken for slow targets."""
         played = Fleet(scenario, is_random=True).play()
         assert statistics.median(played.ratios) <= max_ratio(scenario)
         assert played.rare_queue_ms <= max_queue_ms(scenario)
 
+    def test_fewer_requests_are_late_at_slow_targets(self) -> None:
+        """Guards against requests that go on to targets turned slow."""
+        scenario = Scenario(30, 24, 1_000, 300, slow_ms=2_000)
+        late, late_without = (
+            sum(
+                first_ms > OBJECTIVE_MS
+                for seed in (1, 2, 3)
+                for first_ms in Fleet(scenario, True, seed, has_paces)
+                .play()
+                .first_event_ms
+            )
+            for has_paces in (True, False)
+        )
+        assert late < 0.7 * late_without
+
     @pytest.mark.parametrize("scenario", SCENARIOS, ids=str)
     def test_the_cheapest_by_stale_figures_breaks_the_bounds(
         self, scenario: Scenario
     ) -> None:
         """Guards against bounds that any rule would keep."""
-        played = Fleet(scenario, is_random=False).play()
+        played = Fleet(scenario, is_random=False, has_paces=False).play()
         assert statistics.median(played.ratios) > max_ratio(
             scenario
         ) or played.rare_queue_ms > max_queue_ms(scenario)
