Load models at the homes of the requests that wait for them

Change: such requests wait under a name of model and regions, and the holder of orders plans the loads of these names over the engines at home.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/demand.py
@@ -241,6 +241,10 @@
             max((report.oldest_wait_ms for report in reports), default=0),
         )
 
+    def names(self) -> list[str]:
+        """Return all names under which demand was ever reported."""
+        return list(self._seen_models)
+
     def has_had_requests(self, name: str) -> bool:
         """Return whether any instance has ever reported a model."""
         return name in self._seen_models
--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/placing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import typing
 
 import structlog
@@ -16,6 +17,7 @@
 from cardamom_gateway.engines import order_terms
 from cardamom_gateway.engines import store_loads
 from cardamom_gateway import interfaces
+from cardamom_gateway.locations import homes as homes_module
 from cardamom_gateway import model
 from cardamom_gateway import state as state_module
 from cardamom_gateway.targets import target_records
@@ -32,6 +34,10 @@
 RESERVATION_MS = 5_000  # an unload waits for running requests to end
 MAX_DEMAND_AGE_MS = 1_600  # three periods of the slowest exchange of demand
 
+RecordsById = dict[
+    ids.TargetId,
+    tuple[target_records.TargetRecord, engine_orders.EngineState],
+]
 Publish = typing.Callable[[], None]
 
 
@@ -362,6 +368,82 @@
                 },
                 wanted_by_model=tiering.copies_by_model(situation),
             )
+        self._start_moves(engine, records_by_id, moves)
+        for move in moves:
+            del records_by_id[ids.TargetId(move.engine)]
+        self._place_at_homes(engine, records_by_id)
+
+    def _place_at_homes(
+        self, engine: model.EngineSpec, records_by_id: RecordsById
+    ) -> None:
+        """Load models that requests wait for which may run in some regions.
+
+        Copies elsewhere are of no use to them.
+        """
+        regions = self._state.settings.region_by_data_centre
+        for homes, demand_by_model in self._demand_at_homes(engine).items():
+            at_home = {
+                target_id: (record, engine_state)
+                for target_id, (record, engine_state) in records_by_id.items()
+                if homes.includes(record.target.data_centre, regions)
+            }
+            situation = self._describe_situation(engine, at_home)
+            others = {
+                name: dataclasses.replace(demand, waiting=0)
+                for name, demand in situation.demand_by_model.items()
+            }
+            moves = [
+                move
+                for move in tiering.plan(
+                    dataclasses.replace(
+                        situation, demand_by_model=others | demand_by_model
+                    )
+                )
+                if (move.makes_room_for or move.model) in demand_by_model
+            ]
+            if moves:
+                LOG.info(
+                    "placing: plan at homes",
+                    homes=str(homes),
+                    moves=len(moves),
+                    waiting_by_model={
+                        name: demand.waiting
+                        for name, demand in demand_by_model.items()
+                    },
+                )
+            self._start_moves(engine, at_home, moves)
+            for move in moves:
+                del records_by_id[ids.TargetId(move.engine)]
+
+    def _demand_at_homes(
+        self, engine: model.EngineSpec
+    ) -> dict[homes_module.Homes, dict[str, tiering.Demand]]:
+        """Return the demand of requests that wait, by homes and model."""
+        view = self._state.demand_view
+        demand_by_homes = collections.defaultdict[
+            homes_module.Homes, dict[str, tiering.Demand]
+        ](dict)
+        for demand_name in view.names():
+            name, homes = homes_module.split_demand_name(demand_name)
+            if not homes.are_bound or name not in engine.model_by_name:
+                continue
+            waiting, oldest_wait_ms = view.waiting(
+                demand_name, MAX_DEMAND_AGE_MS
+            )
+            if waiting:
+                demand_by_homes[homes][name] = dataclasses.replace(
+                    self._describe_demand(name),
+                    waiting=waiting,
+                    oldest_wait_ms=oldest_wait_ms,
+                )
+        return demand_by_homes
+
+    def _start_moves(
+        self,
+        engine: model.EngineSpec,
+        records_by_id: RecordsById,
+        moves: typing.Iterable[tiering.Move],
+    ) -> None:
         for move in moves:
             record, engine_state = records_by_id[ids.TargetId(move.engine)]
             if move.from_store:
@@ -387,10 +469,7 @@
     def _describe_situation(
         self,
         engine: model.EngineSpec,
-        records_by_id: dict[
-            ids.TargetId,
-            tuple[target_records.TargetRecord, engine_orders.EngineState],
-        ],
+        records_by_id: RecordsById,
     ) -> tiering.Situation:
         specs = engine.model_by_name
         adapter_reserve_mb = engine.adapter_slots * max(
--- a/packages/cardamom-gateway/src/cardamom_gateway/locations/homes.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/locations/homes.py
@@ -12,6 +12,11 @@
 from cardamom_gateway import model
 
 
+# Between a model and regions in the name of a demand; no model has blanks.
+DEMAND_SEPARATOR = " at "
+REGION_SEPARATOR = ","
+
+
 @dataclasses.dataclass(frozen=True)
 class Homes:
     """The regions that may run a request; None stands for any region.
@@ -46,6 +51,27 @@
 ANYWHERE = Homes(None)
 
 
+def demand_name(model_name: str, homes: Homes) -> str:
+    """Return the name under which requests wait for a model at their homes.
+
+    It is the model's own name if any region may run them.
+    """
+    if homes.regions is None:
+        return model_name
+    regions = REGION_SEPARATOR.join(sorted(homes.regions))
+    return f"{model_name}{DEMAND_SEPARATOR}{regions}"
+
+
+def split_demand_name(name: str) -> tuple[str, Homes]:
+    """Return the model and the homes of a demand's name."""
+    model_name, separator, regions = name.partition(DEMAND_SEPARATOR)
+    if not separator:
+        return name, ANYWHERE
+    return model_name, Homes(
+        frozenset(map(model.RegionId, regions.split(REGION_SEPARATOR)))
+    )
+
+
 def of_request(route: model.Route, team: model.Team | None) -> Homes:
     """Return where a request may run; both the route's and team's homes bind.
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -11,6 +11,7 @@
 from cardamom_policy import refusals
 from cardamom_policy import tiering
 
+from cardamom_gateway.locations import homes as homes_module
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
 from cardamom_gateway import state as state_module
@@ -149,7 +150,10 @@
         self._refuse_without_place(call)
         self._check_software(call)
         call.stage = admission.Stage.MODEL
-        with state.demand.waiting(model_name):
+        demand_name = homes_module.demand_name(model_name, call.homes)
+        if demand_name != model_name:
+            state.demand.note(demand_name, 0, 0, call.route.objective_ms)
+        with state.demand.waiting(demand_name):
             self._report_waiting()
             while not records:
                 remaining_ms = wait_end_ms - state.clock.now_ms()
@@ -341,7 +345,9 @@
             return target_failed(
                 call, f"{call.last_failure}; {message}", outcomes.Step.QUEUE
             )
-        self._state.demand.note_retry_after(model_name, int(expected_ms))
+        self._state.demand.note_retry_after(
+            homes_module.demand_name(model_name, call.homes), int(expected_ms)
+        )
         self._report_waiting()
         return admission.refused(
             outcomes.Code.MODEL_LOADING,
--- a/tests/gateway/test_homes.py
+++ b/tests/gateway/test_homes.py
@@ -51,6 +51,23 @@
     ]
 
 
+class TestDemandNames:
+    """Names under which requests wait for a model at their homes."""
+
+    @pytest.mark.parametrize("regions", [None, CO, CO | ES])
+    def test_name_gives_model_and_homes_back(
+        self, regions: frozenset[model.RegionId] | None
+    ) -> None:
+        """The holder of orders would load the model anywhere, or not."""
+        found = homes.Homes(regions)
+        name = homes.demand_name("m1/a", found)
+        assert homes.split_demand_name(name) == ("m1/a", found)
+
+    def test_name_for_any_region_is_that_of_the_model(self) -> None:
+        """Deployments without homes exchange the same messages as before."""
+        assert homes.demand_name("m1", homes.ANYWHERE) == "m1"
+
+
 class TestHomes:
     """Homes of routes and teams."""
 
--- a/tests/wire/test_homes.py
+++ b/tests/wire/test_homes.py
@@ -206,6 +206,40 @@
         scenarios.run_scenario(scenario, plain=2, engines=0)
 
 
+class TestPlacement:
+    """Models that no engine at home holds."""
+
+    def test_model_is_loaded_at_home_beside_a_copy_elsewhere(self) -> None:
+        """The copy counted as one for all, so requests were never served."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            home, elsewhere = deployment.replicas
+            elsewhere.models = {"m3": []}
+            elsewhere.born_ms += 1
+            home.behaviour = elsewhere.behaviour = serve
+            await set_homes(deployment, ["co"], [], "bog-a", "mad-a")
+            await standins.wait_until(
+                lambda: any(g.placer.may_order for g in deployment.gateways)
+            )
+            for number in range(6):
+                async with session.post(
+                    deployment.url("/chat/a", number % 2),
+                    headers=scenarios.headers(
+                        f"a{number}", **scenarios.model_headers("m3")
+                    ),
+                ) as answer:
+                    assert answer.status == 200
+            assert "m3" in home.models
+            assert elsewhere.requests == []
+            # Once for all of them.
+            loads = [o for o in home.orders if o["operation"] == "loading"]
+            assert len(loads) == 1
+
+        scenarios.run_scenario(scenario, plain=0, engines=2, gateways=2)
+
+
 class TestRelays:
     """Instances through which others reach their targets."""
 
