Leave evacuated targets out when judging whether this instance is cut off

Cause: targets that only peers reach aren't tried while evacuated, so an instance whose link is sound again could count as cut off until the end.

Change: only other targets count. Reports of evacuated engines are waited for by time, not at each change of any target. A test covers the versions of evacuations in digests.

--- a/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/engines/engine_orders.py
@@ -172,7 +172,7 @@
             ):
                 return
             if self._state.targets.is_evacuated(target):
-                await self._state.targets.wait_for_change(REPORT_AGE_MS)
+                await self._state.clock.sleep_ms(REPORT_AGE_MS)
                 continue
             report = await self._engines.report(current.target)
             if report is not None and report.is_leaving:
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -498,9 +498,16 @@
 
     @property
     def is_cut_off(self) -> bool:
-        """Return whether only peers reach at least half of all targets."""
-        relayed = len(self.relayed())
-        return relayed > 0 and 2 * relayed >= len(self.by_id)
+        """Return whether only peers reach at least half of all targets.
+
+        Evacuated ones aren't tried, so nothing new is known of them.
+        """
+        relayed = [
+            r for r in self.relayed() if not self.is_evacuated(r.target)
+        ]
+        return bool(relayed) and 2 * len(relayed) >= sum(
+            not self.is_evacuated(r.target) for r in self.by_id.values()
+        )
 
     def notify(self) -> None:
         """Wake all callers of ``wait_for_change``."""
--- a/tests/gateway/test_digests.py
+++ b/tests/gateway/test_digests.py
@@ -99,6 +99,22 @@
         fleet.run(SECONDS)
         assert max(map(fleet.oldest_ms, range(size))) <= MAX_COUNT_AGE_MS
 
+    def test_versions_of_evacuations_are_passed_on(self) -> None:
+        """A data centre that has lost the store couldn't ask for the rows."""
+        fleet = Fleet(SIZES[0])
+        base = fleet.base
+        fleet.base = lambda number: (  # type: ignore[method-assign]
+            base(number) | ({"ee": 1, "ev": 700} if number % 2 else {})
+        )
+        fleet.run(SECONDS)
+        for received in fleet.received:
+            versions = {
+                name: (update.get("ee"), update.get("ev"))
+                for name, (_, update) in received.items()
+            }
+            assert len(versions) == len(fleet.links) - 1
+            assert set(versions.values()) == {(1, 700), (None, None)}
+
     def test_messages_do_not_grow_with_the_fleet(self) -> None:
         """Each instance would spend more on each further one."""
         for size in SIZES:
