Test that permits end with an evacuation

Cause: nothing covered the owner of a target's permits. Change: a test of the owner before and after the end.

--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -3,8 +3,10 @@
 import typing
 
 from cardamom_gateway.locations import evacuations
+from cardamom_gateway.targets import target_limits
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
+from tests.gateway import test_target_limits
 
 ALLOWED_MS = 5_000
 LAST_HOLDERS_MS = 2_000
@@ -180,3 +182,29 @@
         setup.era = 7
         assert setup.read(B).begun == (B,)
         assert setup.read().ended == (B,)
+
+
+class TestPermits:
+    """Permits for targets in an evacuated data centre."""
+
+    def test_owner_gives_none_until_the_end(self) -> None:
+        """An instance that hasn't heard of the evacuation asks for them."""
+        fleet = test_target_limits.Fleet(1)
+        (limits,) = fleet.all_limits
+        in_force = limits._targets._evacuations
+        request = target_limits.PermitRequest(
+            incarnation=test_target_limits.TARGET.incarnation,
+            permit="p",
+            rate_per_s=100.0,
+            is_brittle=False,
+            slots=6,
+            is_urgent=True,
+            expires_in_ms=1_000,
+        )
+        for is_evacuated in (True, False):
+            in_force.apply(
+                evacuations.Rows({A: is_evacuated}, is_evacuated, 1, 0),
+                ALLOWED_MS,
+            )
+            wait_ms = limits.take(request)
+            assert (wait_ms >= target_limits.CLOSED_WAIT_MS) == is_evacuated
