--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/model_waits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/model_waits.py
@@ -29,6 +29,14 @@
         return self.load_ms + self.queue_ms
 
 
+@dataclasses.dataclass(frozen=True)
+class WaitedModel:
+    """A model, and the name under which its demand is counted."""
+
+    name: str
+    demand_name: str
+
+
 class ModelWait:
     """Predicts the wait for a model, and records how it ended.
 
@@ -41,7 +49,7 @@
         self,
         state: state_module.GatewayState,
         service: model.Service,
-        name: str,
+        waited: WaitedModel,
         may_learn: bool,
         is_allowed: target_registry.TargetFilter = target_registry.allow_any,
     ) -> None:
@@ -49,13 +57,16 @@
         self._state = state
         self._service = service.id
         self._is_allowed = is_allowed
-        self._spec = service.engine.model_by_name[name]
+        self._spec = service.engine.model_by_name[waited.name]
+        self._demand_name = waited.demand_name
         self._started_ms = state.clock.now_ms()
-        self._is_first = state.demand.waits_since_ms(name) is None
+        self._is_first = (
+            state.demand.waits_since_ms(waited.demand_name) is None
+        )
         due_ms, is_on_disk = self._due_ms(), self._is_on_disk()
         self._may_learn = may_learn and self._is_first and due_ms is None
         self._queue = loading_waits.Queue(
-            service.id, is_on_disk, state.demand.is_urgent(name)
+            service.id, is_on_disk, state.demand.is_urgent(waited.demand_name)
         )
         self._first_load_ms = self._load_ms(due_ms, is_on_disk)
 
@@ -106,7 +117,7 @@
     def _queue_ms(self) -> float:
         """Return in how many ms the load should begin, by recent waits."""
         state, now_ms = self._state, self._state.clock.now_ms()
-        since_ms = state.demand.waits_since_ms(self._spec.name)
+        since_ms = state.demand.waits_since_ms(self._demand_name)
         waited_ms = 0 if since_ms is None else now_ms - since_ms
         return state.queue_times.remaining_ms(self._queue, waited_ms, now_ms)
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -10,6 +10,7 @@
 from cardamom_policy import dispatching
 from cardamom_policy import refusals
 
+from cardamom_gateway.locations import homes as homes_module
 from cardamom_gateway import model
 from cardamom_gateway.requests import admission
 from cardamom_gateway.requests import model_waits
@@ -158,14 +159,17 @@
         self._refuse_without_place(call)
         self._check_software(call)
         call.stage = admission.Stage.MODEL
+        demand_name = homes_module.demand_name(model_name, call.homes)
+        if demand_name != model_name:
+            state.demand.note(demand_name, 0, 0, call.route.objective_ms)
         wait = model_waits.ModelWait(
             state,
             call.service,
-            model_name,
+            model_waits.WaitedModel(model_name, demand_name),
             may_learn=not call.tried_targets and call.software_version is None,
             is_allowed=self._target_filter(call),
         )
-        with state.demand.waiting(model_name):
+        with state.demand.waiting(demand_name):
             self._report_waiting()
             while not records:
                 remaining_ms = wait_end_ms - state.clock.now_ms()
@@ -343,7 +347,9 @@
             return target_failed(
                 call, f"{call.last_failure}; {message}", outcomes.Step.QUEUE
             )
-        self._state.demand.note_retry_after(model_name, int(expected_ms))
+        self._state.demand.note_retry_after(
+            homes_module.demand_name(model_name, call.homes), int(expected_ms)
+        )
         self._report_waiting()
         return admission.refused(
             outcomes.Code.MODEL_LOADING,
--- a/tests/gateway/test_model_waits.py
+++ b/tests/gateway/test_model_waits.py
@@ -49,7 +49,8 @@
     def wait(self, name: str, may_learn: bool = True) -> model_waits.ModelWait:
         """Return the wait of a request that arrives now."""
         self.state.demand.note(name, 100, 20, 800)
-        return model_waits.ModelWait(self.state, SERVICE, name, may_learn)
+        waited = model_waits.WaitedModel(name, name)
+        return model_waits.ModelWait(self.state, SERVICE, waited, may_learn)
 
     def load(self, name: str, load_ms: int) -> None:
         """Begin a load at the engine."""
