Let prompts cost more where they would pause running streams

Cause: engines prefill prompts between the tokens of running streams, and 786 of 1,893 streams had pauses above the route's objective of 400 ms. Change: a prompt whose prefill with the pending ones takes more than 0.8 of the objective costs 0.1 ms for each ms beyond it and running stream. No deployment has been run.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/target_choice.py
@@ -294,6 +294,7 @@
             call.route.objective_ms,
             state.peer_figures.figures(any(c.is_local for c in candidates)),
             self._source,
+            call.route.event_interval_objective_ms,
         )
         if choice is None:
             if call.may_have_run:
--- a/packages/cardamom-policy/src/cardamom_policy/dispatching.py
+++ b/packages/cardamom-policy/src/cardamom_policy/dispatching.py
@@ -35,6 +35,11 @@
 # failures) is at most so much higher.  It is the prefill of 220 tokens, less
 # than that of a session's earlier turns.
 FIXED_COST_TOLERANCE_MS = 10.0
+# Part of the objective for the interval between events that pending prompts
+# may take; the rest is the time of the event's own tokens.
+MAX_PAUSE_FRACTION = 0.8
+# Cost of each ms by which a prompt pauses one running stream for too long.
+PAUSE_COST = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,6 +134,7 @@
     objective_ms: float = 0.0,
     figures: even_load.Figures = even_load.EXACT,
     source: random.Random | None = None,
+    interval_objective_ms: float = 0.0,
 ) -> Choice | None:
     """Return the replica with the lowest predicted cost, None for no replica.
 
@@ -137,6 +143,8 @@
     With ``figures`` that are stale, and a random ``source``, one of the
     replicas that are near-equal to the cheapest is returned.  A slow replica
     that would miss the objective is left to requests without any other.
+    A prompt costs more where it would pause running streams for longer than
+    ``interval_objective_ms``, 0 for no such objective.
     """
     candidates = [
         candidate
@@ -144,17 +152,21 @@
         if candidate.pace == 1
         or _predicted_ms(candidate, prompt_tokens) <= objective_ms
     ] or candidates
+    cost_by_id = {
+        candidate.id: _cost(candidate, prompt_tokens)
+        + _pause_cost(candidate, prompt_tokens, interval_objective_ms)
+        for candidate in candidates
+    }
     local_limit_ms = objective_ms * LOCAL_OBJECTIVE_FRACTION
     fast_local = [
         candidate
         for candidate in candidates
-        if candidate.is_local
-        and _cost(candidate, prompt_tokens) <= local_limit_ms
+        if candidate.is_local and cost_by_id[candidate.id] <= local_limit_ms
     ]
     eligible = fast_local or candidates
     best = min(
         eligible,
-        key=lambda candidate: (_cost(candidate, prompt_tokens), candidate.id),
+        key=lambda candidate: (cost_by_id[candidate.id], candidate.id),
         default=None,
     )
     if best is None:
@@ -164,6 +176,7 @@
         best, near_equal, unseen_ms = _choose_near_equal(
             best,
             eligible,
+            cost_by_id,
             prompt_tokens,
             objective_ms,
             figures,
@@ -184,6 +197,7 @@
 def _choose_near_equal(
     best: Candidate,
     candidates: typing.Sequence[Candidate],
+    cost_by_id: typing.Mapping[ids.TargetId, float],
     prompt_tokens: int | None,
     objective_ms: float,
     figures: even_load.Figures,
@@ -213,7 +227,7 @@
     spare = even_load.spare_requests(
         [
             even_load.Option(
-                _cost(candidate, prompt_tokens),
+                cost_by_id[candidate.id],
                 _request_ms(candidate, prompt_tokens),
             )
             for candidate in comparable
@@ -264,6 +278,26 @@
     return cost
 
 
+def _pause_cost(
+    candidate: Candidate,
+    prompt_tokens: int | None,
+    interval_objective_ms: float,
+) -> float:
+    """Return the cost of the pause of the streams that run on a replica.
+
+    An engine prefills prompts between the tokens of running streams, so that
+    prompts that arrive together pause all of them.
+    """
+    if prompt_tokens is None or not interval_objective_ms:
+        return 0.0
+    tokens = candidate.prefill_tokens + max(
+        0, prompt_tokens - candidate.cached_tokens
+    )
+    pause_ms = candidate.pace * tokens / PREFILL_TOKENS_PER_MS
+    excess_ms = pause_ms - MAX_PAUSE_FRACTION * interval_objective_ms
+    return max(0.0, excess_ms) * candidate.running * PAUSE_COST
+
+
 class PrefixCacheEstimate:
     """An estimate of the prompt parts in a replica's prefix cache.
 
--- a/tests/policy/test_speeds.py
+++ b/tests/policy/test_speeds.py
@@ -139,3 +139,34 @@
         assert choice is not None and choice.id == "b"
         choice = dispatching.choose([slow], 4_000, 1_000.0)
         assert choice is not None and choice.id == "a"
+
+
+class TestPauses:
+    """Prompts that pause running streams."""
+
+    def chosen(self, tokens: int, interval_objective_ms: float) -> str:
+        """Return the choice between many streams and a longer queue."""
+        streams = dispatching.Candidate(
+            ids.TargetId("a"), 64, 20, 3_000.0, True
+        )
+        queue = dispatching.Candidate(ids.TargetId("b"), 64, 1, 4_400.0, True)
+        choice = dispatching.choose(
+            [streams, queue],
+            tokens,
+            1_000.0,
+            interval_objective_ms=interval_objective_ms,
+        )
+        assert choice is not None
+        return choice.id
+
+    def test_a_long_prompt_goes_where_few_streams_run(self) -> None:
+        """Guards against events that come late for all running streams."""
+        assert self.chosen(5_000, 400.0) == "b"
+
+    def test_a_prompt_that_pauses_nobody_goes_to_the_fastest(self) -> None:
+        """Guards against a cost for pauses within the objective."""
+        assert self.chosen(1_000, 400.0) == "a"
+
+    def test_routes_without_the_objective_are_served_as_before(self) -> None:
+        """Guards against a cost that nobody has asked for."""
+        assert self.chosen(5_000, 0.0) == "a"
