--- a/tests/gateway/test_delays.py
+++ b/tests/gateway/test_delays.py
@@ -1,5 +1,6 @@
 """Tests of the measured delays of the event loop and of messages."""
 
+import asyncio
 import typing
 
 from cardamom_gateway.fleet import delays
@@ -47,3 +48,26 @@
         assert (first["largest_bytes"], first["largest_field"]) == (9_000, "s")
         assert first["received_bytes"] == 9_000
         assert second["sent_bytes"] == second["received_bytes"] == 0
+
+    def test_lag_is_known_before_it_has_been_measured(self) -> None:
+        """Guards against first events, read late, that look slow.
+
+        They may be read before the measurement resumes.
+        """
+        clock = clocks.SteppedClock(10_000)
+        monitor = delays.DelayMonitor(clock, metrics.Metrics())
+        assert not monitor.has_lagged(0)
+
+        async def scenario() -> None:
+            task = asyncio.create_task(monitor.run())
+            await asyncio.sleep(0)
+            clock.step(delays.LAG_CHECK_PERIOD_MS)
+            assert not monitor.has_lagged(10_000)
+            clock.step(delays.MIN_LAG_MS)
+            assert monitor.has_lagged(10_100)
+            await asyncio.sleep(2 * delays.LAG_CHECK_PERIOD_MS / 1_000)
+            assert monitor.has_lagged(10_150)
+            assert not monitor.has_lagged(10_151)
+            task.cancel()
+
+        asyncio.run(scenario())
--- a/tests/gateway/test_digests.py
+++ b/tests/gateway/test_digests.py
@@ -114,6 +114,22 @@
             ]
             assert max(others) <= MAX_MESSAGES_PER_S * SECONDS
 
+    def test_slow_targets_are_passed_on(self) -> None:
+        """Guards against large fleets that learn of few slow targets."""
+        fleet = Fleet(SIZES[0])
+        slow = {"i-1": [1_000, ["stream", 4.0, 3, 20]]}
+        link = fleet.links[7]
+        link._gather_update = lambda audience: (
+            fleet.base(7) | ANY_COUNTS | {"sp": slow}
+        )
+        fleet.run(SECONDS)
+        name = link._settings.instance
+        assert all(
+            received[name][1].get("sp") == slow
+            for number, received in enumerate(fleet.received)
+            if number != 7
+        )
+
     def test_unknown_reader_is_found_through_any_instance(self) -> None:
         """A reader has not heard those of other data centres at first."""
         fleet = Fleet(SIZES[0])
