Evacuate data centres in the gateway's soak

Evacuations were tested one at a time, never beside other faults. The operator of the soak now writes rows of one data centre, or of two at once, and takes them back after 2 to 12 s; replicas are in three data centres. The ledger names a request that reaches a replica later than 5 s after the row was acknowledged, if its instance is in touch. An outage of the store excuses only rows that came too shortly before it. After a return from an older copy rows that had ended are removed again.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,6 +51,12 @@
         self, replica: standins.ReplicaStandIn, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Answer, or reject a request for want of room."""
+        self._ledger.note_in_zone(
+            replica.zone,
+            replica.name,
+            request.headers["Attempt-Id"],
+            asyncio.get_running_loop().time(),
+        )
         rejection = self.needs.rejection(replica, request)
         if rejection is not None:
             return rejection
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 import typing
 
+from cardamom_wire import store as store_module
 from tests.soak import ledger as ledgers
 from tests.soak import needs as needs_module
 from tests.soak import processes
@@ -222,9 +223,17 @@
         self._store.return_from_copy(
             min(lost_writes, len(self._store.written) - 1)
         )
+        self._take_back_again()
         self._store.is_silent = False
         self._ledger.store.end(self._now_s())
 
+    def _take_back_again(self) -> None:
+        """Remove rows of evacuations that ended, as the operator does."""
+        for table, key in list(self._store.row_by_name):
+            zone = key.removeprefix(store_module.EVACUATION_PREFIX)
+            if zone != key and zone not in self._ledger.evacuation_by_zone:
+                self._store.remove(table, key)
+
     async def _store_history(self) -> None:
         self._ledger.store.begin()
         self._store.forget_history()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -12,6 +12,8 @@
 DRAIN_S = 2.0
 IN_FORCE_S = 2.0
 KEY_S = 5.0
+# The default of bounds.evacuation_ms.
+EVACUATION_S = 5.0
 RATE_WINDOW_S = 8.0
 RATE_OVERAGE = 1.1
 LIMIT_SPAN_S = 4.0
@@ -89,6 +91,17 @@
     end_s: float = math.inf
 
 
+@dataclasses.dataclass
+class Evacuation:
+    """A data centre whose row is in the store.
+
+    ``is_heard`` is whether instances in touch have had the time to read it.
+    """
+
+    begun_s: float
+    is_heard: bool = False
+
+
 class Disturbance:
     """Something that is disturbed now, or was until a moment."""
 
@@ -125,6 +138,8 @@
         self.pauses: dict[tuple[str, str, int], StatedPause] = {}
         self.store = Disturbance()
         self.targets = Disturbance()
+        self.disturbance_by_instance: dict[str, Disturbance] = {}
+        self.evacuation_by_zone: dict[str, Evacuation] = {}
         self.limits: list[StatedLimit] = []
         self.brittle_times: list[BrittleTime] = []
         self.cuts: list[LinkCut] = []
@@ -154,6 +169,50 @@
             self._check_told(arrival, sent)
             self.note_reached(arrival.replica, arrival.attempt, arrival.at_s)
 
+    def begin_evacuation(self, zone: str, now_s: float) -> None:
+        """Record that the store acknowledged the row of a data centre."""
+        self.note_event(f"{zone} is evacuated")
+        self.evacuation_by_zone[zone] = Evacuation(now_s)
+
+    def end_evacuation(self, zone: str, now_s: float) -> None:
+        """Record that the row is taken back, just before it is."""
+        evacuation = self.evacuation_by_zone.pop(zone)
+        duration_s = now_s - evacuation.begun_s
+        self.note_event(f"{zone} isn't evacuated after {duration_s:.2f} s")
+        self.outcomes["evacuations"] += 1
+        if evacuation.is_heard and duration_s > EVACUATION_S:
+            self.outcomes["evacuations beyond the bound"] += 1
+
+    def note_in_zone(
+        self, zone: str, replica: str, attempt: str, now_s: float
+    ) -> None:
+        """Check a request in a data centre, which a replica may yet reject.
+
+        While the store is disturbed instances needn't hear of a new row.  An
+        instance must be in touch from when it got the request to its arrival,
+        as a paused one reads and sends it later.
+        """
+        is_calm = self.store.is_calm(now_s)
+        for other in self.evacuation_by_zone.values():
+            other.is_heard |= is_calm and now_s - other.begun_s >= CONTACT_S
+        evacuation = self.evacuation_by_zone.get(zone)
+        sent = self.sent.get(attempt)
+        if evacuation is None or sent is None:
+            return
+        since_s = now_s - evacuation.begun_s
+        if (
+            evacuation.is_heard
+            and since_s > EVACUATION_S
+            and sent.is_in_touch
+            and sent.heeds_answers
+            and self.disturbance_by_instance[sent.instance].is_calm(now_s)
+        ):
+            self.violate(
+                f"{attempt}: reached {replica} {since_s:.2f} s after {zone} "
+                f"was evacuated, {now_s - sent.at_s:.2f} s after it was sent "
+                f"to {sent.instance}"
+            )
+
     def _check_told(self, arrival: Arrival, sent: Sent) -> None:
         """Check a request for a replica that has said that it leaves."""
         told_s = self.told_leaving_s.get(
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from cardamom_wire import store as store_module
 from tests.soak import callers
 from tests.soak import ledger as ledgers
 from tests.soak import needs as needs_module
@@ -18,6 +19,11 @@
 PROBE_PERIOD_S = 0.1
 LEAVE_PERIOD_S = 3.0
 SERVES_ON_S = 4.0
+EVACUATION_PERIOD_S = 3.0
+# Some evacuations end before the time that the operators allow.
+EVACUATED_S = (2.0, 12.0)
+SECOND_ZONE_FRACTION = 0.4
+MAX_OFFSET_S = 2.0
 # Leavings of which only the replica's answers tell.
 UNREPORTED_FRACTION = 0.4
 FLOOD_RATE = 1_000
@@ -193,7 +199,7 @@
     async def run_replacements(
         self,
         end_s: float,
-        start: typing.Callable[[str, str], typing.Awaitable[None]],
+        start: typing.Callable[[str, str, str], typing.Awaitable[None]],
     ) -> None:
         """Let replicas leave, each after another one has come."""
         while self._now_s() < end_s:
@@ -202,7 +208,8 @@
             leaving = self._random.choice(ready)
             if self._store.is_down or self._store.is_silent:
                 continue
-            await start(f"r{next(self._numbers)}", leaving.service)
+            name = f"r{next(self._numbers)}"
+            await start(name, leaving.service, leaving.zone)
             self._leave(leaving)
             await asyncio.sleep(SERVES_ON_S)
             self._store.remove("servers", leaving.name)
@@ -212,3 +219,32 @@
                 await instance.links.set_down(leaving.address)
             await leaving.stop()
             self._ledger.targets.end(self._now_s())
+
+    async def run_evacuations(self, end_s: float) -> None:
+        """Evacuate one data centre, or two at once, until a time."""
+        while self._now_s() < end_s:
+            await asyncio.sleep(
+                self._random.uniform(0, 2 * EVACUATION_PERIOD_S)
+            )
+            is_second = self._random.random() < SECOND_ZONE_FRACTION
+            zones = self._random.sample(processes.ZONES, 1 + is_second)
+            await asyncio.gather(*(self._evacuate(z, end_s) for z in zones))
+
+    async def _evacuate(self, zone: str, end_s: float) -> None:
+        """Write the row of a data centre, and take it back by the end."""
+        await asyncio.sleep(self._random.uniform(0, MAX_OFFSET_S))
+        await self._wait_for_store()
+        key = store_module.EVACUATION_PREFIX + zone
+        self._store.put("op", key, {})
+        self._ledger.begin_evacuation(zone, self._now_s())
+        remaining_s = max(0.0, end_s - self._now_s())
+        await asyncio.sleep(
+            min(remaining_s, self._random.uniform(*EVACUATED_S))
+        )
+        await self._wait_for_store()
+        self._ledger.end_evacuation(zone, self._now_s())
+        self._store.remove("op", key)
+
+    async def _wait_for_store(self) -> None:
+        while self._store.is_down or self._store.is_silent:
+            await asyncio.sleep(0.05)
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -18,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 PROGRAM = linked_gateway.__name__
+ZONES = ("bog-a", "bog-b", "bog-c")
 GRACE_S = 8
 RATE_TOLERANCE = 3_000
 # After the grace period the platform kills a process.
@@ -53,7 +54,7 @@
         # Above the range from which the system takes ports of connections.
         self.ports = Ports(host, 61_001, 61_002, 61_003)
         self.name = f"frontend-{number}"
-        self.zone = f"bog-{'abc'[number % 3]}"
+        self.zone = ZONES[number % len(ZONES)]
         self.folder = folder.resolve()
         self.links = links.Links(self.folder / f"{self.name}.links.json")
         self._store = store
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -83,12 +83,16 @@
         self._faults.needs = self._replies.needs
         for number in range(8):
             service = "plain" if number < 4 else "engines"
-            await self._start_replica(f"i{number}", service)
+            zone = processes.ZONES[number % len(processes.ZONES)]
+            await self._start_replica(f"i{number}", service, zone)
         self._operator.change()
         for number in range(self._count):
             instance = processes.Instance(number, self._folder, self._store)
             instance.packages = self._earlier
             self._instances.append(instance)
+            self.ledger.disturbance_by_instance[instance.name] = (
+                instance.disturbance
+            )
             await instance.prepare()
             for replica in self._all_replicas:
                 await instance.links.add(replica)
@@ -99,8 +103,9 @@
             while not all([await is_ready(i) for i in self._instances]):
                 await asyncio.sleep(0.2)
 
-    async def _start_replica(self, name: str, service: str) -> None:
+    async def _start_replica(self, name: str, service: str, zone: str) -> None:
         replica = standins.ReplicaStandIn(name, service)
+        replica.zone = zone
         replica.behaviour = self._replies.answer
         if service == "engines":
             replica.models = {"m1": [], "m2": []}
@@ -126,6 +131,7 @@
             self._operator.run_changes(end_s),
             self._operator.run_probes(end_s),
             self._operator.run_replacements(end_s, self._start_replica),
+            self._operator.run_evacuations(end_s),
             self._upgrade(),
         )
         await asyncio.gather(*self._tasks)
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -18,6 +18,14 @@
     ledger.note_arrival(ledgers.Arrival(attempt, "r0", at_s, "flood", tokens))
 
 
+def evacuated_ledger() -> ledgers.Ledger:
+    """Return a ledger with bog-a evacuated at 10 s."""
+    ledger = ledger_with("a")
+    ledger.disturbance_by_instance["frontend-0"] = ledgers.Disturbance()
+    ledger.begin_evacuation("bog-a", 10.0)
+    return ledger
+
+
 class TestBrokenPromises:
     """What callers and replicas see when a promise is broken."""
 
@@ -70,6 +78,41 @@
         arrive(ledger, "b", at_s=12.5)
         assert len(ledger.violations) == 1
 
+    def test_late_request_to_an_evacuated_data_centre_is_named(self) -> None:
+        """The data centre could be without power."""
+        ledger = evacuated_ledger()
+        ledger.note_in_zone("bog-a", "r0", "a", 14.9)
+        ledger.note_in_zone("bog-b", "r1", "a", 15.1)
+        assert ledger.violations == []
+        ledger.note_in_zone("bog-a", "r0", "a", 15.1)
+        assert len(ledger.violations) == 1
+
+    def test_store_outage_excuses_only_rows_that_nobody_heard(self) -> None:
+        """An outage must not end what instances already know."""
+        ledger = evacuated_ledger()
+        ledger.store.begin()
+        ledger.note_in_zone("bog-a", "r0", "a", 16.0)
+        assert ledger.violations == []
+        ledger.store.end(16.0)
+        ledger.note_in_zone("bog-a", "r0", "a", 18.9)
+        assert ledger.violations == []
+        ledger.note_in_zone("bog-b", "r1", "a", 19.1)
+        ledger.store.begin()
+        ledger.note_in_zone("bog-a", "r0", "a", 19.2)
+        assert len(ledger.violations) == 1
+
+    def test_disturbed_instance_and_ended_evacuation_are_not_named(
+        self,
+    ) -> None:
+        """The promise holds for neither."""
+        ledger = evacuated_ledger()
+        ledger.disturbance_by_instance["frontend-0"].begin()
+        ledger.note_in_zone("bog-a", "r0", "a", 16.0)
+        ledger.disturbance_by_instance["frontend-0"].end(16.0)
+        ledger.end_evacuation("bog-a", 20.0)
+        ledger.note_in_zone("bog-a", "r0", "a", 20.1)
+        assert ledger.violations == []
+
     def test_requests_in_a_stated_time_are_named(self) -> None:
         """Two are allowed, and more in the first half second."""
         ledger = ledger_with("a")
