--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -30,7 +30,7 @@
     """One attempt of a caller.
 
     ``heeds_answers`` is whether the build of the instance knows all that
-    targets say in their answers.
+    targets say in their answers, and evacuations.
     """
 
     instance: str
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -167,7 +167,11 @@
         attempt = f"probe-{next(self._attempts)}"
         now_s = self._now_s()
         self._ledger.sent[attempt] = ledgers.Sent(
-            instance.name, "read", now_s, instance.disturbance.is_calm(now_s)
+            instance.name,
+            "read",
+            now_s,
+            instance.disturbance.is_calm(now_s),
+            heeds_answers=not instance.is_earlier_build,
         )
         try:
             async with session.post(
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -101,14 +101,17 @@
         ledger.note_in_zone("bog-a", "r0", "a", 19.2)
         assert len(ledger.violations) == 1
 
-    def test_disturbed_instance_and_ended_evacuation_are_not_named(
+    def test_requests_beyond_the_promise_of_evacuations_are_not_named(
         self,
     ) -> None:
-        """The promise holds for neither."""
+        """Instances may be disturbed or of an earlier build, or it ended."""
         ledger = evacuated_ledger()
         ledger.disturbance_by_instance["frontend-0"].begin()
         ledger.note_in_zone("bog-a", "r0", "a", 16.0)
         ledger.disturbance_by_instance["frontend-0"].end(16.0)
+        ledger.sent["a"].heeds_answers = False
+        ledger.note_in_zone("bog-a", "r0", "a", 19.9)
+        ledger.sent["a"].heeds_answers = True
         ledger.end_evacuation("bog-a", 20.0)
         ledger.note_in_zone("bog-a", "r0", "a", 20.1)
         assert ledger.violations == []
