Check what cold replicas of the soak get in each second

Replicas of the soak came back warm. One that restarts now says in its entry that it is cold for 3 s and bears 2 requests a second, and the ledger names more than 2 x 1.5 + 5 requests within a second.

Sixteen tests of the ledger pass, one of them new.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,12 +51,10 @@
         self, replica: standins.ReplicaStandIn, request: web.BaseRequest
     ) -> web.StreamResponse:
         """Answer, or reject a request for want of room."""
-        self._ledger.note_in_zone(
-            replica.zone,
-            replica.name,
-            request.headers["Attempt-Id"],
-            asyncio.get_running_loop().time(),
-        )
+        attempt = request.headers["Attempt-Id"]
+        now_s = asyncio.get_running_loop().time()
+        self._ledger.note_in_zone(replica.zone, replica.name, attempt, now_s)
+        self._ledger.note_at_cold(replica.name, attempt, now_s)
         rejection = self.needs.rejection(replica, request)
         if rejection is not None:
             return rejection
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -258,9 +258,12 @@
         for instance in self._instances:
             await instance.links.set_down(address)
         await replica.crash(DOWN_S)
+        self._ledger.cold_times.append(
+            ledgers.ColdTime(replica.name, self._now_s())
+        )
         for instance in self._instances:
             await instance.links.set_up(address)
         if replica.state == "ready":
-            self._store.put("servers", replica.name, replica.entry())
+            self._store.put("servers", replica.name, self.needs.entry(replica))
         self._ledger.targets.end(self._now_s())
         self._busy.discard(replica.name)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -14,6 +14,11 @@
 KEY_S = 5.0
 # The default of bounds.evacuation_ms.
 EVACUATION_S = 5.0
+COLD_S = 3.0
+# Low, so that the few requests of a soak would exceed the bound.
+COLD_PER_S = 2.0
+COLD_OVERAGE = 1.5
+COLD_TOLERANCE = 5
 RATE_WINDOW_S = 8.0
 RATE_OVERAGE = 1.1
 LIMIT_SPAN_S = 4.0
@@ -91,6 +96,21 @@
     end_s: float = math.inf
 
 
+@dataclasses.dataclass
+class ColdTime:
+    """A time in which a replica is cold after a restart.
+
+    ``requests`` are the times at which a caller sent a request and at which
+    it reached the replica.
+    """
+
+    replica: str
+    begun_s: float
+    requests: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list
+    )
+
+
 @dataclasses.dataclass
 class Evacuation:
     """A data centre whose row is in the store.
@@ -142,6 +162,7 @@
         self.evacuation_by_zone: dict[str, Evacuation] = {}
         self.limits: list[StatedLimit] = []
         self.brittle_times: list[BrittleTime] = []
+        self.cold_times: list[ColdTime] = []
         self.cuts: list[LinkCut] = []
         self.status_by_attempt: dict[str, int] = {}
         self.events: list[str] = []
@@ -364,6 +385,50 @@
         told_s = limit.told_s.get(sent.instance, math.inf)
         return sent.is_in_touch and arrival.at_s - told_s >= TOLD_S
 
+    def cold_remaining_s(self, replica: str, now_s: float) -> float:
+        """Return how much longer a replica is cold."""
+        begun_s = max(
+            (t.begun_s for t in self.cold_times if t.replica == replica),
+            default=-math.inf,
+        )
+        return max(0.0, begun_s + COLD_S - now_s)
+
+    def note_at_cold(self, replica: str, attempt: str, now_s: float) -> None:
+        """Record a request that reaches a replica which may be cold."""
+        sent = self.sent.get(attempt)
+        for time in self.cold_times:
+            if (
+                time.replica == replica
+                and now_s < time.begun_s + COLD_S
+                and sent is not None
+                and sent.heeds_answers
+            ):
+                time.requests.append((sent.at_s, now_s))
+
+    def check_cold(self) -> None:
+        """Check what cold replicas got in each second, at the end.
+
+        When an instance sends a request isn't known here, so those count that
+        a caller sent within the same second.
+        """
+        allowed = COLD_PER_S * COLD_OVERAGE + COLD_TOLERANCE
+        for time in self.cold_times:
+            most = max(
+                (
+                    sum(
+                        sent_s >= first_s and at_s < first_s + 1.0
+                        for sent_s, at_s in time.requests
+                    )
+                    for first_s, _ in time.requests
+                ),
+                default=0,
+            )
+            if most > allowed:
+                self.violate(
+                    f"{time.replica}: {most} requests within 1 s while cold, "
+                    f"{allowed:.1f} allowed"
+                )
+
     def check_falls(self) -> None:
         """Check how often brittle replicas fell."""
         for time in self.brittle_times:
--- a/tests/soak/needs.py
+++ b/tests/soak/needs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import typing
 
@@ -72,6 +73,11 @@
         for name in names:
             self._brittle.pop(name, None)
 
+    def entry(self, replica: standins.ReplicaStandIn) -> dict[str, typing.Any]:
+        """Return a replica's next entry, with how long it stays cold."""
+        cold_s = self._ledger.cold_remaining_s(replica.name, self._now_s())
+        return replica.entry() | {"cold_remaining_ms": math.ceil(cold_s * 1e3)}
+
     def headers(self, replica: standins.ReplicaStandIn) -> dict[str, str]:
         """Return what an answer of a replica states."""
         stated = {}
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -73,6 +73,9 @@
             route | {"name": f"v{n}", "prefix": f"/v{n}/"}
             for n in range(8, self._version + 1)
         ]
+        for service in configuration["services"]:
+            service["cold_start_s"] = ledgers.COLD_S
+            service["cold_per_s"] = ledgers.COLD_PER_S
         (team,) = configuration["tenants"]
         configuration["tenants"] = [
             team | {"rate_per_s": 0},
@@ -195,7 +198,8 @@
             self._ledger.note_event(f"{leaving.name} leaves by its answers")
             return
         is_stable = self._ledger.store.is_calm(self._now_s())
-        self._store.put("servers", leaving.name, leaving.entry())
+        entry = self._needs.entry(leaving)
+        self._store.put("servers", leaving.name, entry)
         self._ledger.note_event(f"{leaving.name} leaves, {is_stable=}")
         if is_stable:
             self._ledger.leaving_s[leaving.name] = self._now_s()
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -102,6 +102,8 @@
                 "quota_overage": 0.1,
                 "quota_tolerance": RATE_TOLERANCE,
                 "budget_slack": 200,
+                "cold_start_overage": ledgers.COLD_OVERAGE,
+                "cold_start_tolerance": ledgers.COLD_TOLERANCE,
             },
         }
         self._settings_path.write_text(yaml.safe_dump(settings))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -193,6 +193,7 @@
         self.ledger.check_runs()
         self.ledger.check_bad_part()
         self.ledger.check_limits()
+        self.ledger.check_cold()
         self.ledger.check_falls()
         self.ledger.check_cuts()
         limit = (
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -167,6 +167,25 @@
         ledger.check_limits()
         assert len(ledger.violations) == 1
 
+    def test_requests_beyond_the_bound_of_a_cold_replica_are_named(
+        self,
+    ) -> None:
+        """It would crash; eight in a second are allowed."""
+        ledger = ledger_with(*(f"a{n}" for n in range(11)))
+        ledger.cold_times.append(ledgers.ColdTime("r0", 10.0))
+        for number in range(11):
+            ledger.sent[f"a{number}"].at_s = 11.0 + number / 10
+        # Sent before the second, in the next one, and to a warm replica.
+        ledger.sent["a0"].at_s = 10.4
+        for number in [*range(9), 10]:
+            ledger.note_at_cold("r0", f"a{number}", 11.15 + number / 10)
+        ledger.note_at_cold("r0", "a9", 13.1)
+        ledger.check_cold()
+        assert ledger.violations == []
+        ledger.note_at_cold("r0", "a9", 11.95)
+        ledger.check_cold()
+        assert len(ledger.violations) == 1
+
     def test_falls_of_brittle_replicas_are_named(self) -> None:
         """Two falls of four replicas are allowed, and a tenth of four."""
         ledger = ledger_with()
