Simplify two expressions of cold targets and permits

Cause: found on reading the diff: a conditional in parentheses and a nested one were hard to read. Change: a named condition, and a function for the counter's outcome. Result: the tests of cold targets pass.

--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/cold_targets.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/cold_targets.py
@@ -127,11 +127,8 @@
         if rule is None:
             return None
         until_ms = max(self._stated_until_ms, self._noted_until_ms)
-        return (
-            rule.bound
-            if self._rules.is_cut_off or now_ms < until_ms
-            else (None)
-        )
+        is_cold = self._rules.is_cut_off or now_ms < until_ms
+        return rule.bound if is_cold else None
 
 
 def of_entry(
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -89,14 +89,7 @@
             if owner is None
             else await self._ask(owner, request)
         )
-        outcome = (
-            "no_answer"
-            if wait_ms is None
-            else "refused"
-            if wait_ms
-            else "given"
-        )
-        self._metrics.permits.labels(need.reason, outcome).inc()
+        self._metrics.permits.labels(need.reason, _outcome(wait_ms)).inc()
         if wait_ms == 0:
             return Permit(request, owner)
         pause_ms = NO_ANSWER_PAUSE_MS if wait_ms is None else wait_ms
@@ -114,3 +107,10 @@
             self._limits.finish(end)
             return
         self._group.run_in_background(self._report_end(permit.owner, end))
+
+
+def _outcome(wait_ms: int | None) -> str:
+    """Return how an owner answered, for the counter."""
+    if wait_ms is None:
+        return "no_answer"
+    return "refused" if wait_ms else "given"
