--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/model_waits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/model_waits.py
@@ -115,8 +115,15 @@
         self._state.metrics.model_waits.labels(outcome).inc()
 
     def _queue_ms(self) -> float:
-        """Return in how many ms the load should begin, by recent waits."""
+        """Return in how many ms the load should begin, by recent waits.
+
+        With few engines it is 0: their loads differ so much that what some
+        requests have waited starved models that were rarely asked for.
+        """
         state, now_ms = self._state, self._state.clock.now_ms()
+        engines = len(state.targets.of_service(self._service))
+        if engines < tiering.MANY_ENGINES:
+            return 0.0
         since_ms = state.demand.waits_since_ms(self._demand_name)
         waited_ms = 0 if since_ms is None else now_ms - since_ms
         return state.queue_times.remaining_ms(self._queue, waited_ms, now_ms)
