--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -278,6 +278,8 @@
 
     def record_connect_success(self, now_ms: int) -> None:
         """Record an answer, which ends any pause."""
+        if self.suspect_ms != FIRST_SUSPECT_MS:
+            self.cold.note_unknown(now_ms)  # it may have started again
         self.last_answer_ms = now_ms
         self.suspect_until_ms = clocks.NEVER_MS
         self.suspect_ms = FIRST_SUSPECT_MS
@@ -285,9 +287,11 @@
     def record_connect_failure(self, now_ms: int) -> None:
         """Pause the use of an unreachable target.
 
-        The pause doubles with each failure, up to MAX_SUSPECT_MS.
+        The pause doubles with each failure, up to MAX_SUSPECT_MS.  The target
+        may be starting again, and counts as cold while that is unknown.
         """
         if now_ms < self.suspect_until_ms:
             return
+        self.cold.note_unknown(now_ms)
         self.suspect_until_ms = now_ms + self.suspect_ms
         self.suspect_ms = min(MAX_SUSPECT_MS, self.suspect_ms * 2)
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -106,6 +106,20 @@
         one.registry.put(entry(3, 0))
         assert one.need is None
 
+    def test_target_that_was_not_reached_counts_as_cold(self) -> None:
+        """Guards against a restart whose entry the store doesn't pass on."""
+        one = OneTarget()
+        one.registry.put(entry(1, 0))
+        one.record.record_connect_failure(one.clock.now_ms())
+        assert one.need is not None and one.need.cold is not None
+        one.clock.step(10_000)
+        assert one.need is None
+        one.record.record_connect_success(one.clock.now_ms())
+        assert one.need is not None
+        one.clock.step(SERVICE.cold_start_ms)
+        one.record.record_connect_success(one.clock.now_ms())
+        assert one.need is None
+
     def test_older_entry_that_arrives_late_changes_nothing(self) -> None:
         """Guards against an earlier entry that calls a cold target warm."""
         one = OneTarget()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -258,9 +258,10 @@
         for instance in self._instances:
             await instance.links.set_down(address)
         await replica.crash(DOWN_S)
-        self._ledger.cold_times.append(
-            ledgers.ColdTime(replica.name, self._now_s())
-        )
+        if self._ledger.has_cold_replicas:
+            self._ledger.cold_times.append(
+                ledgers.ColdTime(replica.name, self._now_s())
+            )
         for instance in self._instances:
             await instance.links.set_up(address)
         if replica.state == "ready":
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -73,9 +73,10 @@
             route | {"name": f"v{n}", "prefix": f"/v{n}/"}
             for n in range(8, self._version + 1)
         ]
-        for service in configuration["services"]:
-            service["cold_start_s"] = ledgers.COLD_S
-            service["cold_per_s"] = ledgers.COLD_PER_S
+        if self._ledger.has_cold_replicas:
+            for service in configuration["services"]:
+                service["cold_start_s"] = ledgers.COLD_S
+                service["cold_per_s"] = ledgers.COLD_PER_S
         (team,) = configuration["tenants"]
         configuration["tenants"] = [
             team | {"rate_per_s": 0},
