Name the check for a target that plain calls may wait for

Cause: _must_wait_anyway returned whether waiting is of no use, which its name said the other way round. Change: _has_no_target; a rename only.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/plain_rooms.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/plain_rooms.py
@@ -99,7 +99,7 @@
         while (
             clock.now_ms() + CHECK_MS <= self._wait_end_ms(call)
             and not self._state.is_closing
-            and not self._must_wait_anyway(call, records)
+            and not self._has_no_target(call, records)
         ):
             await clock.sleep_ms(CHECK_MS)
             if not queue.is_next(ticket, slots):
@@ -131,9 +131,7 @@
         with_room = [r for r in records if free_by_target.get(r.target.id, 0)]
         return with_room, sum(free_by_target.values())
 
-    def _must_wait_anyway(
-        self, call: admission.Call, records: Records
-    ) -> bool:
+    def _has_no_target(self, call: admission.Call, records: Records) -> bool:
         """Return whether all targets have failed, left, or take no calls."""
         now_ms, registry = self._state.clock.now_ms(), self._state.targets
         return not any(
