--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A replica that says that it leaves gets requests after its entry returns."""
+"""A late heartbeat brings a replica back whose entry has been removed."""
 
 import asyncio
 import collections
@@ -13,54 +13,50 @@
 from tests.wire import standins  # noqa: E402
 
 ZONES = ("lz-a", "lz-b", "lz-c")
-REPLICAS = 6
-ROUNDS = 3
+REPLICAS = 4
 DRAIN_MS = 2000
-CUT_S = 5.0
-SERVES_ON_S = 3.0
+# A write without an answer is done 1 to 6 s later.
+LATE_S = 6.0
+# From that write to the removal of the entry.
+REMOVED_AFTER_S = 3.4
+SERVES_ON_S = 6.0
 WORK_S = 0.25
 PERIOD_S = 0.02
+ROUNDS = 3
 
 
 class Case:
-    """Replicas that leave one after the other, under writes."""
+    """Replicas that leave without a report, under writes at all machines."""
 
-    def __init__(self) -> None:
+    def __init__(self, has_trouble: bool) -> None:
         self.scene = scenes.Scene(__file__)
-        self.leaving: set[str] = set()
-        # When a machine first got an answer with Server-Leaving, by replica.
-        self.told_ms: dict[tuple[str, str], int] = {}
-        self.late: list[tuple[str, str, str, int]] = []
+        self.has_trouble = has_trouble
+        self.removed_ms: dict[str, int] = {}
+        self.late: list[tuple[str, str, int]] = []
+        self.broken_off: list[str] = []
 
     async def behave(self, replica, request):
-        """Answer a write; a replica that leaves says so."""
+        """Answer a write, and note one that comes too late."""
         attempt = request.headers["Attempt-Id"]
-        if replica.name in self.leaving:
-            self.note_arrival(replica.name, attempt)
-        await asyncio.sleep(WORK_S)
-        headers = standins.signed(request)
-        if replica.name in self.leaving:
-            headers["Server-Leaving"] = "1"
-            machine = self.scene.gateway_by_attempt[attempt].name
-            self.told_ms.setdefault((replica.name, machine), scenes.now_ms())
-        return web.Response(text=replica.name, headers=headers)
-
-    def note_arrival(self, replica: str, attempt: str) -> None:
-        """Record an arrival, which may be too late."""
-        scene = self.scene
-        machine = scene.gateway_by_attempt[attempt].name
-        told_ms = self.told_ms.get((replica, machine))
-        sent_ms = scene.sent_ms_by_attempt[attempt]
-        is_late = told_ms is not None and sent_ms > told_ms + DRAIN_MS
-        scene.record.note(
-            "late" if is_late else "arrived",
-            replica=replica,
-            machine=machine,
-            attempt=attempt,
-            told_ms=told_ms,
+        removed_ms = self.removed_ms.get(replica.name)
+        if removed_ms is not None:
+            late_ms = scenes.now_ms() - removed_ms
+            self.scene.record.note(
+                "arrived",
+                replica=replica.name,
+                attempt=attempt,
+                after_removal_ms=late_ms,
+            )
+            if late_ms > DRAIN_MS:
+                self.late.append((replica.name, attempt, late_ms))
+        try:
+            await asyncio.sleep(WORK_S)
+        except asyncio.CancelledError:
+            self.broken_off.append(attempt)
+            raise
+        return web.Response(
+            text=replica.name, headers=standins.signed(request)
         )
-        if is_late:
-            self.late.append((replica, machine, attempt, sent_ms - told_ms))
 
     async def load(self) -> None:
         """Send writes to all machines."""
@@ -68,30 +64,38 @@
             self.scene.run(self.scene.send(gateway, "/write/2f", b"order"))
             await asyncio.sleep(PERIOD_S)
 
-    async def leave(self, replica: scenes.Replica, has_trouble: bool) -> None:
-        """Let a replica leave while it is cut off from the store."""
-        note = self.scene.record.note
-        self.leaving.add(replica.name)
-        note("leaves", replica=replica.name)
-        await asyncio.sleep(1)
-        if has_trouble:
-            note("cut from the store", replica=replica.name)
-            replica.reports_to_store = False
-        await asyncio.sleep(CUT_S)
-        if has_trouble:
-            note("cut healed", replica=replica.name)
-            replica.reports_to_store = True
-        await asyncio.sleep(SERVES_ON_S)
+    async def leave(self, replica: scenes.Replica) -> None:
+        """Remove a replica's entry, and let it serve on and exit."""
+        scene = self.scene
+        if self.has_trouble:
+            scene.run(self.write_late(replica, replica.entry()))
+        await asyncio.sleep(REMOVED_AFTER_S)
         replica.reports_to_store = False
+        scene.store.remove("servers", replica.name)
+        self.removed_ms[replica.name] = scenes.now_ms()
+        scene.record.note("entry removed", replica=replica.name)
+        await asyncio.sleep(SERVES_ON_S)
+        scene.record.note("exits", replica=replica.name)
         await replica.shut()
-        note("exits", replica=replica.name)
+
+    async def write_late(self, replica, entry) -> None:
+        """Do a heartbeat's write that got no answer."""
+        record = self.scene.record
+        record.note(
+            "heartbeat lost", replica=replica.name, sequence=entry["sequence"]
+        )
+        await asyncio.sleep(LATE_S)
+        replica.report(entry)
+        record.note(
+            "heartbeat done", replica=replica.name, sequence=entry["sequence"]
+        )
 
 
 async def case(has_trouble: bool) -> bool:
-    """Return whether a write reached a leaving replica too late."""
-    this = Case()
+    """Return whether a write reached a removed replica too late."""
+    this = Case(has_trouble)
     scene = this.scene
-    for number in range(REPLICAS):
+    for number in range(REPLICAS + ROUNDS):
         replica = scene.add_replica(
             f"i-{number}", "plain", ZONES[number % len(ZONES)]
         )
@@ -104,16 +108,18 @@
         scene.run(this.load())
         await asyncio.sleep(2)
         for replica in scene.replicas[:ROUNDS]:
-            await this.leave(replica, has_trouble)
+            await this.leave(replica)
             await asyncio.sleep(2)
-        latest_ms = max((late_ms for *_, late_ms in this.late), default=0)
-        per_pair = collections.Counter(
-            (replica, machine) for replica, machine, *_ in this.late
-        )
+        statuses = [
+            scene.status_by_attempt.get(attempt, 0)
+            for _, attempt, _ in this.late
+        ]
+        per_replica = collections.Counter(name for name, _, _ in this.late)
         print(
-            f"{len(this.late)} writes reached a leaving replica from a "
-            f"machine that it had told, later than {DRAIN_MS} ms after "
-            f"(up to {latest_ms} ms): {dict(per_pair)}"
+            f"{len(this.late)} writes reached removed replicas later than "
+            f"{DRAIN_MS} ms after the removal: {dict(per_replica)}; answers "
+            f"by status: {dict(collections.Counter(statuses))}; "
+            f"{len(this.broken_off)} were broken off"
         )
         return bool(this.late)
     finally:
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Checks that the stand-ins of cases 6 to 9 can be imported and compiled; they
+# Checks that the stand-ins of cases 6 to 10 can be imported and compiled; they
 # need nothing but the deploy build and the folders tests/ and tools/.
 set -eu
 cd "$(dirname "$0")/.."
-PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1 python3 - review/kit-2/*.py review/[6-9]/*.py <<'PY'
+PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1 python3 - review/kit-2/*.py review/[6-9]/*.py review/10/*.py <<'PY'
 import importlib
 import sys
 
