--- a/review/kit-2/brittle.py
+++ b/review/kit-2/brittle.py
@@ -43,9 +43,9 @@
         self._slots: dict[str, asyncio.Semaphore] = {}
         self._held: collections.Counter[str] = collections.Counter()
         # The time and the sender of each rejection in this incarnation.
-        self._rejected: collections.defaultdict[
-            str, list[tuple[int, str]]
-        ] = collections.defaultdict(list)
+        self._rejected: collections.defaultdict[str, list[tuple[int, str]]] = (
+            collections.defaultdict(list)
+        )
         self._down: set[str] = set()
         self._falls: list[tuple[int, str, list[tuple[int, str]]]] = []
         self._broken_off = 0
--- a/review/kit-2/scene.py
+++ b/review/kit-2/scene.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import itertools
 import json
@@ -25,7 +24,6 @@
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
 import aiohttp  # noqa: E402
-from aiohttp import web  # noqa: E402
 import yaml  # noqa: E402
 
 from tests.wire import cuts  # noqa: E402
@@ -251,7 +249,9 @@
         self._run = random.getrandbits(32)
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
-    def run(self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]) -> None:
+    def run(
+        self, coroutine: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
         """Run a coroutine in the background until ``close``."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -388,7 +388,9 @@
 
 
 def main(
-    case: typing.Callable[[bool], typing.Coroutine[typing.Any, typing.Any, bool]],
+    case: typing.Callable[
+        [bool], typing.Coroutine[typing.Any, typing.Any, bool]
+    ],
 ) -> None:
     """Run a case; exit with 1 if the rule was broken, 2 if it couldn't run."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
