--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import itertools
 import pathlib
 import sys
 
@@ -58,12 +57,6 @@
             text=replica.name, headers=standins.signed(request)
         )
 
-    async def load(self) -> None:
-        """Send writes to all machines."""
-        for gateway in itertools.cycle(self.scene.gateways):
-            self.scene.run(self.scene.send(gateway, "/write/2f", b"order"))
-            await asyncio.sleep(PERIOD_S)
-
     async def leave(self, replica: scenes.Replica) -> None:
         """Remove a replica's entry, and let it serve on and exit."""
         scene = self.scene
@@ -95,17 +88,11 @@
     """Return whether a write reached a removed replica too late."""
     this = Case(has_trouble)
     scene = this.scene
-    for number in range(REPLICAS + ROUNDS):
-        replica = scene.add_replica(
-            f"i-{number}", "plain", ZONES[number % len(ZONES)]
-        )
-        replica.behaviour = this.behave
-    configuration = standins.configuration()
-    configuration["tenants"][0]["rate_per_s"] = 0
+    scene.add_plain_replicas(REPLICAS + ROUNDS, ZONES, this.behave)
     try:
-        await scene.start(configuration, ZONES)
+        await scene.start(scenes.configuration(), ZONES)
         await asyncio.sleep(4)
-        scene.run(this.load())
+        scene.run(scene.keep_writing(PERIOD_S))
         await asyncio.sleep(2)
         for replica in scene.replicas[:ROUNDS]:
             await this.leave(replica)
--- a/review/kit-2/brittle.py
+++ b/review/kit-2/brittle.py
@@ -52,14 +52,10 @@
 
     async def start(self) -> None:
         """Start the deployment, and its load."""
-        for number in range(REPLICAS):
-            replica = self.scene.add_replica(
-                f"i-{number}", "plain", ZONES[number % len(ZONES)]
-            )
-            replica.behaviour = self._behave
+        self.scene.add_plain_replicas(REPLICAS, ZONES, self._behave)
+        for replica in self.scene.replicas:
             self._begin(replica)
-        configuration = standins.configuration()
-        configuration["tenants"][0]["rate_per_s"] = 0
+        configuration = scenes.configuration()
         configuration["services"][0]["connection_limit"] = 110
         await self.scene.start(configuration, ZONES)
         await asyncio.sleep(4)
--- a/review/kit-2/scene.py
+++ b/review/kit-2/scene.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import itertools
-import json
 import os
 import pathlib
 import random
@@ -159,7 +158,6 @@
         zones: typing.Sequence[str],
         store_address: str,
         folder: pathlib.Path,
-        bounds: dict[str, object],
     ) -> None:
         self.name, self.host, self.zone = name, host, zone
         self.callers = f"{host}:61001"
@@ -187,7 +185,7 @@
             "limits": {"memory_mb": 300, "file_descriptors": 4100},
             "data_directory": None,
             "heartbeat_interval_ms": 1200,
-            "bounds": BOUNDS | bounds,
+            "bounds": BOUNDS,
             "platform": {"address": store_address, "form": "table"},
         }
 
@@ -224,12 +222,6 @@
         if self.process is not None:
             await self.process.wait()
 
-    def lines(self, event: str) -> typing.Iterator[dict[str, typing.Any]]:
-        """Return the fields of the log lines of an event."""
-        for line in self._log.read_text("utf-8", "replace").splitlines():
-            if f'"event": "{event}"' in line:
-                yield json.loads(line)
-
 
 class Scene:
     """A small deployment; ends all that it has started in ``close``."""
@@ -257,18 +249,24 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def add_replica(self, name: str, service: str, zone: str) -> Replica:
-        """Return a new replica, which ``start`` starts."""
-        replica = Replica(name, service, zone, self.store)
-        self.replicas.append(replica)
-        return replica
+    def add_plain_replicas(
+        self,
+        count: int,
+        zones: typing.Sequence[str],
+        behaviour: standins.Behaviour,
+    ) -> None:
+        """Add replicas of the plain service, which ``start`` starts."""
+        for number in range(count):
+            replica = Replica(
+                f"i-{number}", "plain", zones[number % len(zones)], self.store
+            )
+            replica.behaviour = behaviour
+            self.replicas.append(replica)
 
     async def start(
         self,
         configuration: dict[str, typing.Any],
         zones: typing.Sequence[str],
-        bounds: dict[str, object] = {},
-        store_address: typing.Callable[[str], str] | None = None,
     ) -> None:
         """Start the store, the replicas and a gateway for each zone given."""
         await self.store.start()
@@ -283,17 +281,13 @@
         names = sorted(set(zones))
         for number, zone in enumerate(zones, 1):
             name = f"frontend-{zone}-{number}"
-            address = (
-                store_address(name) if store_address else self.store.address
-            )
             gateway = Gateway(
                 name,
                 f"{network}.{number}",
                 zone,
                 names,
-                address,
+                self.store.address,
                 self.folder,
-                bounds,
             )
             self.gateways.append(gateway)
             await gateway.start()
@@ -354,13 +348,18 @@
         self.record.note("answered", attempt=attempt, status=status)
         return status
 
+    async def keep_writing(self, period_s: float) -> None:
+        """Send writes to all machines in turn."""
+        for gateway in itertools.cycle(self.gateways):
+            self.run(self.send(gateway, "/write/2f", b"order"))
+            await asyncio.sleep(period_s)
+
     async def close(self) -> None:
         """End every process and close every port."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for gateway in self.gateways:
-            gateway.send_signal(signal.SIGCONT)
             await gateway.kill()
         for replica in self.replicas:
             with contextlib.suppress(Exception):
@@ -373,6 +372,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def configuration() -> dict[str, typing.Any]:
+    """Return a configuration whose team has no limit."""
+    fields = standins.configuration()
+    fields["tenants"][0]["rate_per_s"] = 0
+    return fields
+
+
 def _free_network(count: int) -> str:
     """Return the start of loopback addresses on which the ports are free."""
     for _ in range(100):
