Take no answer whose head has no status of a final HTTP/1 answer

Cause: the parsers of aiohttp take any three digits for a status and any N.N for a version; nothing checked them. Status 000, 101 or 999 was passed on as it came. A write to the object store with status 000 counted as done, as raise_for_status() holds for each status under 400, and Not-Executed in such a head was taken for a promise that the request had not run. Change: a response class that refuses a head whose status isn't 200 to 599, or whose version isn't HTTP/1, used by all sessions of gateway, daemon, store clients and command line: open_session(). It raises a ClientError, so the connection is closed, the attempt counts as one that may have run, a call that may be repeated goes to another target, others get a 502. Why it works: aiohttp calls start() for each answer before anyone sees it.

--- a/packages/cardamom-ctl/src/cardamom_ctl/client.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/client.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 
+from cardamom_platform import answer_heads
+
 TIMEOUT_S = 30.0
 NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
@@ -48,7 +50,7 @@
     async def _call(self, method: str, path: str, body: object) -> Answer:
         errors: list[str] = []
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=2.0)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with answer_heads.open_session(timeout=timeout) as session:
             for url in self._urls:
                 try:
                     return await self._send(session, method, url + path, body)
--- a/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
@@ -10,6 +10,8 @@
 import aiohttp
 from prometheus_client import parser
 
+from cardamom_platform import answer_heads
+
 IN_FORCE = "cardamom_evacuation_in_force"
 DATA_CENTRE = "data_centre"
 # Metrics that a gateway of every build exports.
@@ -41,7 +43,7 @@
 
 
 async def _read(addresses: typing.Sequence[str]) -> list[View]:
-    async with aiohttp.ClientSession(
+    async with answer_heads.open_session(
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=TIMEOUT_S, sock_read=TIMEOUT_S
         ),
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from cardamom_platform import answer_heads
 from cardamom_platform import connectors
 
 IDLE_TIMEOUT_S = 15.0
@@ -54,7 +55,7 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the current session; opens it on first use."""
         if self._session is None:
-            self._session = aiohttp.ClientSession(
+            self._session = answer_heads.open_session(
                 connector=self._connector(),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
--- /dev/null
+++ b/tests/wire/test_malformed_answers.py
@@ -0,0 +1,251 @@
+"""Tests of answers whose heads aren't heads of HTTP/1 answers."""
+
+import asyncio
+import types
+import typing
+
+import aiohttp
+from opentelemetry import trace
+import pytest
+
+from cardamom_ctl import client as ctl_client
+from cardamom_daemon import plain_calls
+from cardamom_gateway import interfaces
+from cardamom_kernel import tables
+from cardamom_platform import interfaces as platform_interfaces
+from cardamom_platform import plugins
+from cardamom_platform import pools
+from cardamom_wire import plugin
+from tests.daemon import test_plain_calls
+from tests.wire import cuts
+from tests.wire import raw_answers
+from tests.wire import scenarios
+from tests.wire import standins
+
+Result = typing.TypeVar("Result")
+LENGTH = f"Content-Length: {len(raw_answers.TEXT)}"
+START_LINES = (
+    "HTTP/1.1 000 Trouble",
+    "HTTP/1.1 001 Trouble",
+    "HTTP/1.1 099 Trouble",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 600 Trouble",
+    "HTTP/1.1 999 Trouble",
+    "HTTP/2.0 200 OK",
+    "HTTP/1.1 0 Trouble",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 OK",
+    "HTTP/1.1",
+    "ICY 200 OK",
+)
+
+
+async def _assert_failed_once(
+    deployment: standins.Deployment, session: aiohttp.ClientSession, path: str
+) -> None:
+    """Check that a caller gets a 502 of the gateway, after one attempt."""
+    async with session.post(
+        deployment.url(path),
+        headers=scenarios.headers("a1", **scenarios.model_headers("m1")),
+    ) as answer:
+        assert answer.status == 502
+        assert "Response-Signature" not in answer.headers
+        assert raw_answers.TEXT not in await answer.read()
+    requests = [r for replica in deployment.replicas for r in replica.requests]
+    assert len(requests) == 1
+
+
+def _assert_is_not_relayed(
+    behaviour: standins.Behaviour, path: str = "/write/a"
+) -> None:
+    async def scenario(
+        deployment: standins.Deployment, session: aiohttp.ClientSession
+    ) -> None:
+        for replica in deployment.replicas:
+            replica.behaviour = behaviour
+        await _assert_failed_once(deployment, session, path)
+
+    scenarios.run_scenario(scenario, plain=1, engines=1)
+
+
+class TestStartLines:
+    """Answers whose first line has no status of a final answer."""
+
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    @pytest.mark.parametrize("start_line", START_LINES)
+    def test_answer_without_a_status_is_not_relayed(
+        self, start_line: str, path: str
+    ) -> None:
+        """Callers got it with the target's signature."""
+        behaviour = raw_answers.RawAnswer(start_line, [LENGTH])
+        _assert_is_not_relayed(behaviour, path)
+
+    def test_status_after_an_interim_answer_is_checked(self) -> None:
+        """The check could stop at the first head of an answer."""
+        behaviour = raw_answers.RawAnswer(
+            START_LINES[0], [LENGTH], prefix=b"HTTP/1.1 100 Continue\r\n\r\n"
+        )
+        _assert_is_not_relayed(behaviour)
+
+    @pytest.mark.parametrize("path", ["/read/a", "/chat/a"])
+    def test_call_that_may_be_repeated_is_served_by_another_target(
+        self, path: str
+    ) -> None:
+        """The answer could be taken for one that ends the call."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            bad = raw_answers.RawAnswer(START_LINES[0], [LENGTH])
+            for replica in deployment.replicas[::2]:
+                replica.behaviour = bad
+            for number in range(8):
+                async with session.post(
+                    deployment.url(path),
+                    headers=scenarios.headers(
+                        f"a{number}", **scenarios.model_headers("m1")
+                    ),
+                ) as answer:
+                    assert answer.status == 200
+                    assert raw_answers.TEXT not in await answer.read()
+
+        scenarios.run_scenario(scenario, plain=2, engines=2)
+
+    @pytest.mark.parametrize("start_line", START_LINES)
+    def test_answer_is_not_passed_on_by_a_relaying_peer(
+        self, start_line: str
+    ) -> None:
+        """The check of one instance must not depend on that of its peer."""
+
+        async def scenario(linked: cuts.LinkedDeployment) -> None:
+            (replica,) = linked.deployment.replicas
+            replica.behaviour = raw_answers.RawAnswer(start_line, [LENGTH])
+            await linked.cut({0}, cuts.Cut.RESET)
+            status = await cuts.status_of(linked, 0, "/write/a", "a1")
+            assert len(replica.requests) == 1
+            assert status == 502
+
+        cuts.run_linked(scenario, plain=1, engines=0, gateways=2)
+
+    def test_broken_answer_is_not_a_promise_that_nothing_ran(self) -> None:
+        """Its head could say that the request wasn't executed."""
+        behaviour = raw_answers.RawAnswer(
+            START_LINES[0], [LENGTH, "Not-Executed: 1"]
+        )
+        _assert_is_not_relayed(behaviour)
+
+
+def _answered(
+    start_line: str,
+    call: typing.Callable[[raw_answers.RawServer], typing.Awaitable[Result]],
+    body: bytes = b"{}",
+) -> Result:
+    """Return what a call makes of an answer of a server."""
+
+    async def run() -> Result:
+        lines = (f"Content-Length: {len(body)}",)
+        head = raw_answers.signed_head("a1", start_line, *lines)
+        async with raw_answers.RawServer(head + b"\r\n" + body) as server:
+            return await call(server)
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("start_line", START_LINES)
+class TestOwnCalls:
+    """Broken answers to calls of an instance's own."""
+
+    def test_object_is_not_written(self, start_line: str) -> None:
+        """A write that the store had not taken counted as done."""
+
+        async def call(server: raw_answers.RawServer) -> None:
+            pool = pools.Pool()
+            objects = plugins.HttpObjectStore(pool, server.url)
+            try:
+                await objects.put("key", b"value")
+            finally:
+                await pool.close()
+
+        with pytest.raises(platform_interfaces.ObjectsUnavailable):
+            _answered(start_line, call)
+
+    def test_object_is_not_read(self, start_line: str) -> None:
+        """The bytes of a broken answer were taken for the object."""
+
+        async def call(server: raw_answers.RawServer) -> bytes | None:
+            pool = pools.Pool()
+            objects = plugins.HttpObjectStore(pool, server.url)
+            try:
+                return await objects.get("key")
+            finally:
+                await pool.close()
+
+        with pytest.raises(platform_interfaces.ObjectsUnavailable):
+            _answered(start_line, call)
+
+    def test_commit_is_unknown(self, start_line: str) -> None:
+        """A commit that the table had not taken counted as committed."""
+
+        async def call(server: raw_answers.RawServer) -> tables.CommitResult:
+            pool = pools.Pool()
+            table = plugins.HttpTable(pool, server.url)
+            try:
+                return await table.commit({}, {"key": {}})
+            finally:
+                await pool.close()
+
+        result = _answered(start_line, call, b'{"committed":true,"rows":{}}')
+        assert result.state is tables.CommitState.UNKNOWN
+
+    def test_row_of_the_store_is_not_read(self, start_line: str) -> None:
+        """An instance could take rows from a broken answer."""
+
+        async def call(server: raw_answers.RawServer) -> None:
+            store = plugin.ConsorcioPlatform().open_store(server.address)
+            try:
+                await store.read_all(interfaces.Topic.TARGETS)
+            finally:
+                await store.close()
+
+        body = b'{"rows":[],"ver":1,"now_ms":1}'
+        with pytest.raises(interfaces.StoreUnavailable):
+            _answered(start_line, call, body)
+
+    def test_plain_call_of_the_daemon_fails(self, start_line: str) -> None:
+        """Callers of the daemon got the broken answer as the service's."""
+
+        async def call(
+            server: raw_answers.RawServer,
+        ) -> plain_calls.PlainAnswer:
+            pool = pools.Pool()
+            target = types.SimpleNamespace(
+                id="app-1", spec=types.SimpleNamespace(url=server.url)
+            )
+            fleet = types.SimpleNamespace(tracer=trace.get_tracer("test"))
+            try:
+                return await plain_calls.send(
+                    pool.session,
+                    test_plain_calls.CALL,
+                    typing.cast(typing.Any, target),
+                    5.0,
+                    typing.cast(typing.Any, fleet),
+                )
+            finally:
+                await pool.close()
+
+        with pytest.raises(pools.NETWORK_ERRORS):
+            _answered(start_line, call)
+
+    def test_operator_is_told_that_no_instance_answered(
+        self, start_line: str
+    ) -> None:
+        """The command line took status 0 for none, and others for answers."""
+
+        async def call(server: raw_answers.RawServer) -> ctl_client.Answer:
+            client = ctl_client.OperatorClient([server.url], "key")
+            return await asyncio.to_thread(client.call, "GET", "/v1/config")
+
+        answer = _answered(start_line, call)
+        assert answer.status == 0
+        assert answer.body["error"]["code"] == "unreached"
