Parse no head of an answer with a line that is no field

Seen on other systems: the name of a field held a blank or a control byte, and the client got that line, or a body that was not the replica's. Here: "Content-Length : 4" and "Transfer-Encoding : chunked" ended the body, and "Connection : close" was passed on with its blank; a line that begins with a blank was dropped as the first of the head, and joined to the field before it elsewhere, the signature too; after a bare line feed the rest of the head was the body (200, MIXED) or broke the answer to the caller. Cause: aiohttp's parsers are lenient with answers, the one in C also with a blank before the colon of fields that it knows; what they drop or join can't be seen in what they return. Change: the bytes of an answer reach the parser once its head matches the grammar of RFC 9112, without folded lines, for all sessions. A malformed line is refused as soon as it is complete, as the parsers did. Interim heads are checked too, and all heads of an answer may have 64 KiB together; 128 fields of 64 KiB each, and interim answers without end, were read before. Why it works: no parser sees a head that two parsers could read differently.

--- a/packages/cardamom-ctl/src/cardamom_ctl/client.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/client.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from cardamom_platform import answer_heads
+from cardamom_platform import connectors
 
 TIMEOUT_S = 30.0
 NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -50,7 +50,9 @@
     async def _call(self, method: str, path: str, body: object) -> Answer:
         errors: list[str] = []
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S, sock_connect=2.0)
-        async with answer_heads.open_session(timeout=timeout) as session:
+        async with connectors.open_session(
+            connectors.CleanConnector(), timeout=timeout
+        ) as session:
             for url in self._urls:
                 try:
                     return await self._send(session, method, url + path, body)
--- a/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
@@ -10,7 +10,7 @@
 import aiohttp
 from prometheus_client import parser
 
-from cardamom_platform import answer_heads
+from cardamom_platform import connectors
 
 IN_FORCE = "cardamom_evacuation_in_force"
 DATA_CENTRE = "data_centre"
@@ -43,11 +43,11 @@
 
 
 async def _read(addresses: typing.Sequence[str]) -> list[View]:
-    async with answer_heads.open_session(
+    async with connectors.open_session(
+        connectors.CleanConnector(limit=MAX_CONNECTIONS),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=TIMEOUT_S, sock_read=TIMEOUT_S
         ),
-        connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
     ) as session:
         return await asyncio.gather(
             *(_read_one(session, address) for address in addresses)
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -11,7 +11,6 @@
 import yarl
 
 from cardamom_kernel import clocks
-from cardamom_platform import answer_heads
 from cardamom_platform import connectors
 from cardamom_policy import dispatching
 
@@ -279,8 +278,8 @@
             socket_factory=sockets.open_target_socket,
             keepalive_timeout=self._idle_timeout_s,
         )
-        session = answer_heads.open_session(
-            connector=self._open_connector,
+        session = connectors.open_session(
+            self._open_connector,
             timeout=aiohttp.ClientTimeout(
                 total=None, sock_connect=CONNECT_TIMEOUT_S
             ),
--- a/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
@@ -1,13 +1,25 @@
 """Checks the heads of answers before anything of them is used."""
 
+import asyncio
+import re
 import typing
 
 import aiohttp
+from aiohttp import client_proto
 
 HTTP_MAJOR_VERSION = 1
 # Statuses of final answers.  aiohttp skips interim ones, but for a switch to
 # another protocol, which no request asks for.
 FINAL_STATUSES = range(200, 600)
+# All heads of an answer together, the interim ones too.
+MAX_HEAD_BYTES = 1 << 16
+HEAD_END = b"\r\n\r\n"
+# RFC 9112, sections 4 and 5; without line folding, which gateways may refuse.
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_START_LINE = rb"HTTP/[0-9]\.[0-9] ([0-9]{3})(?: " + _TEXT + rb")?\r\n"
+_FIELD_LINE = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r\n"
+_LINES = re.compile(_START_LINE + rb"(?:" + _FIELD_LINE + rb")*")
+_PROTOCOL = b"HTTP/"
 
 
 class MalformedHead(aiohttp.ClientError):
@@ -17,8 +29,95 @@
     """
 
 
+class HeadReader:
+    """Passes the bytes of an answer on once its head is well-formed.
+
+    The parsers of aiohttp take a blank before the colon of some fields, drop
+    or join lines that begin with a blank, and end a head at a bare line feed.
+    ``is_complete`` is whether the final head has been passed on.
+    """
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self._pending = b""
+        self._passed_bytes = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes that may be parsed now.
+
+        Raises MalformedHead.
+        """
+        pending = self._pending + data
+        passed = 0
+        while not self.is_complete:
+            end = pending.find(HEAD_END, passed)
+            if end < 0:
+                self._check_beginning(pending[passed:])
+                break
+            lines = _LINES.fullmatch(pending, passed, end + len(b"\r\n"))
+            if lines is None:
+                raise MalformedHead("a line of the head is malformed")
+            passed = end + len(HEAD_END)
+            self._check_size(passed)
+            self.is_complete = not _is_interim(lines[1])
+        if self.is_complete:
+            passed = len(pending)
+        self._passed_bytes += passed
+        self._pending = pending[passed:]
+        self._check_size(len(self._pending))
+        return pending[:passed]
+
+    def _check_beginning(self, data: bytes) -> None:
+        """Check the complete lines of a head that isn't complete."""
+        lines = data[: data.rfind(b"\n") + 1]
+        if not data.startswith(_PROTOCOL[: len(data)]):
+            raise MalformedHead("the answer doesn't begin with a status line")
+        if lines and not _LINES.fullmatch(lines):
+            raise MalformedHead("a line of the head is malformed")
+
+    def _check_size(self, size_bytes: int) -> None:
+        if self.is_complete:
+            return
+        if self._passed_bytes + size_bytes > MAX_HEAD_BYTES:
+            raise MalformedHead(
+                f"the head has more than {MAX_HEAD_BYTES} bytes"
+            )
+
+
+def _is_interim(status: bytes) -> bool:
+    return status.startswith(b"1") and status != b"101"
+
+
+class CheckedProtocol(client_proto.ResponseHandler):
+    """A client's side of a connection, which parses only sound heads."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._head = HeadReader()
+
+    def set_response_params(self, **options: typing.Any) -> None:
+        """Expect the answer to a request that has been sent."""
+        self._head = HeadReader()
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes of an answer; end the connection if its head is bad."""
+        if self._parser is None or self._head.is_complete:
+            super().data_received(data)
+            return
+        try:
+            checked = self._head.feed(data)
+        except MalformedHead as error:
+            if self.transport is not None:
+                self.transport.close()
+            self.set_exception(error)
+            return
+        if checked:
+            super().data_received(checked)
+
+
 class CheckedResponse(aiohttp.ClientResponse):
-    """An answer that is read only if its head is well-formed."""
+    """An answer that is read only if its head can be used."""
 
     async def start(self, connection: typing.Any) -> aiohttp.ClientResponse:
         """Read the head; raises MalformedHead, which ends the connection."""
@@ -29,16 +128,8 @@
         return self
 
 
-def open_session(**options: typing.Any) -> aiohttp.ClientSession:
-    """Return a client session that checks the heads of all answers.
-
-    The options are those of aiohttp.ClientSession.
-    """
-    return aiohttp.ClientSession(response_class=CheckedResponse, **options)
-
-
 def find_problem(response: aiohttp.ClientResponse) -> str | None:
-    """Return what is wrong with the head of an answer, None if it is sound.
+    """Return why the head of an answer can't be used, None if it can.
 
     The parsers of aiohttp take any three digits for a status, and any version
     of the form N.N.
--- a/packages/cardamom-platform/src/cardamom_platform/connectors.py
+++ b/packages/cardamom-platform/src/cardamom_platform/connectors.py
@@ -1,10 +1,15 @@
-"""A connector that reuses only connections without unread bytes."""
+"""Client sessions whose connections and answers are checked."""
 
+import asyncio
 import contextlib
 import contextvars
+import functools
 import typing
 
 import aiohttp
+from aiohttp import client_proto
+
+from cardamom_platform import answer_heads
 
 _needs_new_connection: contextvars.ContextVar[bool] = contextvars.ContextVar(
     "needs_new_connection", default=False
@@ -30,7 +35,7 @@
     They belong to no request, such as a second copy of an answer.  aiohttp
     would give them to the next request as its answer.  ``max_idle`` is the
     number of idle connections that are kept for each address, None for no
-    limit.
+    limit.  Answers whose heads are malformed end their connection.
     """
 
     def __init__(
@@ -38,6 +43,7 @@
     ) -> None:
         super().__init__(**options)
         self._max_idle = max_idle
+        self._factory = functools.partial(_open_protocol, loop=self._loop)
 
     def set_idle_timeout(self, timeout_s: float) -> None:
         """Set how long idle connections are reused, also those kept now."""
@@ -78,3 +84,23 @@
         if has_enough:
             options["should_close"] = True
         super()._release(key, protocol, **options)
+
+
+def _open_protocol(
+    loop: asyncio.AbstractEventLoop,
+) -> client_proto.ResponseHandler:
+    return answer_heads.CheckedProtocol(loop)
+
+
+def open_session(
+    connector: CleanConnector, **options: typing.Any
+) -> aiohttp.ClientSession:
+    """Return a client session that checks the heads of all answers.
+
+    The further options are those of aiohttp.ClientSession.
+    """
+    return aiohttp.ClientSession(
+        connector=connector,
+        response_class=answer_heads.CheckedResponse,
+        **options,
+    )
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 
-from cardamom_platform import answer_heads
 from cardamom_platform import connectors
 
 IDLE_TIMEOUT_S = 15.0
@@ -55,8 +54,8 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the current session; opens it on first use."""
         if self._session is None:
-            self._session = answer_heads.open_session(
-                connector=self._connector(),
+            self._session = connectors.open_session(
+                self._connector(),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
@@ -94,7 +93,7 @@
             closing_task.cancel()
         await asyncio.gather(*closing_tasks, return_exceptions=True)
 
-    def _connector(self) -> aiohttp.TCPConnector:
+    def _connector(self) -> connectors.CleanConnector:
         kwargs: dict[str, typing.Any] = {
             "limit": self._settings.limit,
             "socket_factory": self._settings.socket_factory,
--- a/tests/wire/raw_answers.py
+++ b/tests/wire/raw_answers.py
@@ -13,7 +13,9 @@
 HeadLines = typing.Sequence[str | bytes]
 
 
-def signed_head(attempt: str, start_line: str, *lines: str | bytes) -> bytes:
+def signed_head(
+    attempt: str, start_line: str | bytes, *lines: str | bytes
+) -> bytes:
     """Return a head that a target has signed, with further lines."""
     all_lines = [
         start_line,
@@ -30,23 +32,25 @@
 class RawAnswer:
     """A behaviour that writes a signed answer, then closes its connection.
 
-    ``prefix`` comes before the answer; ``is_reset`` breaks the connection
-    instead of closing it.
+    ``prefix`` comes before the answer, and its body ``pause_s`` after the
+    head; ``is_reset`` breaks the connection instead of closing it.
     """
 
     def __init__(
         self,
-        start_line: str = OK,
+        start_line: str | bytes = OK,
         lines: HeadLines = (),
         body: bytes = TEXT,
         prefix: bytes = b"",
         is_reset: bool = False,
+        pause_s: float = 0.0,
     ) -> None:
         self.start_line = start_line
         self.lines = lines
         self.body = body
         self.prefix = prefix
         self.is_reset = is_reset
+        self.pause_s = pause_s
 
     async def __call__(
         self, replica: standins.ReplicaStandIn, request: web.BaseRequest
@@ -57,8 +61,10 @@
         head = signed_head(
             request.headers["Attempt-Id"], self.start_line, *self.lines
         )
-        transport.write(self.prefix + head + b"\r\n" + self.body)
-        await asyncio.sleep(0.02)
+        transport.write(self.prefix + head + b"\r\n")
+        await asyncio.sleep(self.pause_s)
+        transport.write(self.body)
+        await asyncio.sleep(0.01)
         if self.is_reset:
             standins.reset(request)
         transport.close()
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -249,3 +249,114 @@
         answer = _answered(start_line, call)
         assert answer.status == 0
         assert answer.body["error"]["code"] == "unreached"
+
+
+CONTROL_BYTES = tuple(map(bytes, zip((0, 1, 8, 10, 11, 12, 13, 27, 31, 127))))
+NAMES: tuple[bytes, ...] = (
+    b"Odd Name",
+    b"Odd\tName",
+    b"Odd ",
+    b" Odd",
+    b"\tOdd",
+    b"",
+    b"Odd(Name)",
+    b"Odd\x80Name",
+    b"\xffOdd",
+    b"Connection ",
+    b"Upgrade ",
+    *(b"Odd" + byte + b"Name" for byte in CONTROL_BYTES),
+    *(byte + b"Odd" for byte in CONTROL_BYTES),
+    *(b"Odd" + byte for byte in CONTROL_BYTES),
+)
+LENGTH_NAMES: tuple[bytes, ...] = (
+    b"Content-Length ",
+    b"Content-Length  ",
+    b"Content-Length\t",
+    b" Content-Length",
+    b"\tContent-Length",
+    b"Transfer-Encoding ",
+    *(byte + b"Content-Length" for byte in CONTROL_BYTES),
+    *(b"Content-Length" + byte for byte in CONTROL_BYTES),
+)
+CHUNKS = b"4\r\ntext\r\n0\r\n\r\n"
+
+
+def _odd_fields() -> typing.Iterator[raw_answers.RawAnswer]:
+    """Yield answers with an odd field, first or last in the head."""
+    for field in (
+        *(name + b": x" for name in NAMES),
+        *(b"Odd: a" + byte + b"b" for byte in CONTROL_BYTES),
+        b"Odd",
+    ):
+        yield raw_answers.RawAnswer(lines=[LENGTH, field])
+        yield raw_answers.RawAnswer(lines=[field, LENGTH])
+        first = raw_answers.OK.encode() + b"\r\n" + field
+        yield raw_answers.RawAnswer(first, [LENGTH])
+
+
+def _odd_lengths() -> typing.Iterator[raw_answers.RawAnswer]:
+    """Yield answers whose odd field could end the body early."""
+    for name in LENGTH_NAMES:
+        is_chunked = name.startswith(b"Transfer")
+        value, body = (b"chunked", CHUNKS) if is_chunked else (b"4", b"text")
+        field = name + b": " + value
+        first = raw_answers.OK.encode() + b"\r\n" + field
+        for rest in (b"", b" of the target"):
+            yield raw_answers.RawAnswer(lines=[field], body=body + rest)
+            yield raw_answers.RawAnswer(first, body=body + rest)
+
+
+class TestFields:
+    """Answers with a line in the head that isn't a field."""
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.01])
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    @pytest.mark.parametrize("answers", [_odd_fields, _odd_lengths])
+    def test_answer_with_an_odd_field_is_not_relayed(
+        self,
+        answers: typing.Callable[[], typing.Iterator[raw_answers.RawAnswer]],
+        path: str,
+        pause_s: float,
+    ) -> None:
+        """Callers got the line, or a body that wasn't the target's."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await _lift_rate(deployment)
+            relayed = []
+            for number, answer in enumerate(answers()):
+                answer.pause_s = pause_s
+                for replica in deployment.replicas:
+                    replica.behaviour = answer
+                status, body = await _post(
+                    deployment, session, path, f"a{number}"
+                )
+                if status != 502 or b"text" in body:
+                    relayed.append((answer.start_line, answer.lines, status))
+            assert not relayed
+
+        scenarios.run_scenario(scenario, plain=2, engines=2)
+
+
+async def _lift_rate(deployment: standins.Deployment) -> None:
+    configuration = standins.configuration(8)
+    configuration["tenants"][0]["rate_per_s"] = 0
+    deployment.store.put("op", "config", configuration)
+    state = deployment.gateways[0].state
+    await standins.wait_until(lambda: state.configuration.version == 8)
+
+
+async def _post(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    path: str,
+    attempt: str,
+) -> tuple[int, bytes]:
+    """Return status and body, both empty for a broken answer."""
+    head = scenarios.headers(attempt, **scenarios.model_headers("m1"))
+    try:
+        async with session.post(deployment.url(path), headers=head) as answer:
+            return answer.status, await answer.read()
+    except aiohttp.ClientError:
+        return 0, b""
