Quote no bytes of a broken answer to callers

Seen: the 502 for an answer with a broken chunk held the bytes that couldn't be parsed, and the head of the request as it was sent to the target. Cause: the message of a failed attempt was the repr() of aiohttp's error, and it is sent to callers; the daemon did the same. Change: pools.describe() names the kind of error of a malformed answer; errors of connections are described as before.

--- a/packages/cardamom-daemon/src/cardamom_daemon/at_most_once_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/at_most_once_calls.py
@@ -183,7 +183,7 @@
             await self._record(call, claims.ClaimState.UNKNOWN)
             raise _refused(
                 outcomes.Code.OUTCOME_UNKNOWN,
-                f"the target may have run the call: {error!r}",
+                f"the target may have run the call: {pools.describe(error)}",
                 outcomes.Step.SEND,
                 not_run=False,
                 peer=target.id,
--- a/packages/cardamom-daemon/src/cardamom_daemon/model_context.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_context.py
@@ -16,6 +16,7 @@
 from cardamom_kernel import outcomes
 from cardamom_kernel import shares
 from cardamom_kernel import telemetry
+from cardamom_platform import pools
 
 STALL_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 1.0
@@ -69,11 +70,11 @@
 def attempt_failed(
     step: outcomes.Step,
     target: target_module.Target,
-    problem: BaseException | str,
+    problem: Exception | str,
     not_run: bool,
 ) -> AttemptFailed:
     """Return the exception for a failed attempt at a target."""
-    message = problem if isinstance(problem, str) else repr(problem)
+    message = problem if isinstance(problem, str) else pools.describe(problem)
     return AttemptFailed(Failure(step, target.id, message, not_run))
 
 
--- a/packages/cardamom-daemon/src/cardamom_daemon/model_streams.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_streams.py
@@ -156,7 +156,7 @@
         self._fleet.metrics.count("models.cut_short")
         refusal = outcomes.Refusal(
             outcomes.Code.TARGET_FAILED,
-            f"the answer is cut short: {problem}",
+            f"the answer is cut short: {pools.describe(problem)}",
             outcomes.Step.STREAM,
             not_run=False,
             peer=target.id,
--- a/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/plain_calls.py
@@ -121,7 +121,7 @@
                 target.pool.replace()
                 step, message, peer = (
                     outcomes.Step.FIRST_BYTE,
-                    repr(error),
+                    pools.describe(error),
                     target.id,
                 )
                 if not self._budget.try_retry():
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -12,6 +12,7 @@
 
 from cardamom_kernel import clocks
 from cardamom_platform import connectors
+from cardamom_platform import pools
 from cardamom_policy import dispatching
 
 from cardamom_gateway.fleet import peers
@@ -198,7 +199,9 @@
                 FailureKind.NOT_CONNECTED, repr(error)
             ) from error
         except TRANSFER_ERRORS as error:
-            raise AttemptFailed(FailureKind.BROKEN, repr(error)) from error
+            raise AttemptFailed(
+                FailureKind.BROKEN, pools.describe(error)
+            ) from error
 
     def _check_answer(
         self,
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -11,6 +11,7 @@
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_platform import answer_bodies
+from cardamom_platform import pools
 from cardamom_policy import dispatching
 from cardamom_policy import refusals
 from cardamom_policy import speeds
@@ -479,7 +480,7 @@
             body = await answer_bodies.read(response)
         except attempts.TRANSFER_ERRORS as error:
             raise attempts.AttemptFailed(
-                attempts.FailureKind.BROKEN, repr(error)
+                attempts.FailureKind.BROKEN, pools.describe(error)
             ) from error
         can_retry = (
             call.route.is_retryable
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/relaying.py
@@ -15,6 +15,7 @@
 
 from cardamom_kernel import ids
 from cardamom_platform import answer_bodies
+from cardamom_platform import pools
 
 from cardamom_gateway.requests import attempts
 from cardamom_gateway import state as state_module
@@ -77,7 +78,7 @@
             try:
                 return await self._pass_back(request, response)
             except attempts.TRANSFER_ERRORS as error:
-                return _abort(request, record, repr(error))
+                return _abort(request, record, pools.describe(error))
 
     def _record(
         self, request: web.BaseRequest
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -6,6 +6,7 @@
 import typing
 
 import aiohttp
+from aiohttp import http_exceptions
 
 from cardamom_platform import connectors
 
@@ -17,6 +18,20 @@
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
+def describe(error: Exception) -> str:
+    """Return a description of a network error that any caller may read.
+
+    aiohttp's own, for bytes that it can't parse, holds these bytes, which may
+    be of another caller's answer, and the head of the request.
+    """
+    cause = error.__cause__
+    if isinstance(cause, http_exceptions.HttpProcessingError):
+        return f"the answer is malformed: {type(cause).__name__}"
+    if isinstance(error, aiohttp.ClientResponseError):
+        return f"the answer is not usable: status {error.status}"
+    return repr(error)
+
+
 @dataclasses.dataclass(frozen=True)
 class PoolSettings:
     """The settings of a pool.
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -339,6 +339,16 @@
         scenarios.run_scenario(scenario, plain=2, engines=2)
 
 
+class TestBrokenBodies:
+    """Bodies that the library can't parse."""
+
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    def test_bytes_of_a_broken_body_are_not_quoted(self, path: str) -> None:
+        """They may be of the answer to another caller."""
+        behaviour = raw_answers.RawAnswer(lines=["Transfer-Encoding: chunked"])
+        _assert_is_not_relayed(behaviour, path)
+
+
 async def _lift_rate(deployment: standins.Deployment) -> None:
     configuration = standins.configuration(8)
     configuration["tenants"][0]["rate_per_s"] = 0
