Fail at once when the body of an answer can't be parsed

Seen: an answer whose chunks are broken after its head has arrived got a 504 at the deadline, not a 502 at once; a call that may be repeated had no time left for another target. Cause: aiohttp closes the connection and tells those who wait for a head; a reader of the body is told nothing, as its parser has dropped the body. Change: the checked protocol ends the body with the parser's error.

--- a/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
@@ -103,7 +103,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; end the connection if its head is bad."""
         if self._parser is None or self._head.is_complete:
-            super().data_received(data)
+            self._parse(data)
             return
         try:
             checked = self._head.feed(data)
@@ -113,7 +113,22 @@
             self.set_exception(error)
             return
         if checked:
-            super().data_received(checked)
+            self._parse(checked)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; a body that can't be parsed ends at once.
+
+        aiohttp tells only those who wait for a head of the parser's error.
+        """
+        body = self._payload
+        super().data_received(data)
+        error = self.exception()
+        if body is None or error is None or body.is_eof():
+            return
+        if body.exception() is None:
+            body.set_exception(
+                aiohttp.ClientPayloadError("the body is malformed"), error
+            )
 
 
 class CheckedResponse(aiohttp.ClientResponse):
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -348,6 +348,16 @@
         behaviour = raw_answers.RawAnswer(lines=["Transfer-Encoding: chunked"])
         _assert_is_not_relayed(behaviour, path)
 
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    def test_body_that_breaks_after_its_head_fails_at_once(
+        self, path: str
+    ) -> None:
+        """Its caller waited for the rest until the deadline."""
+        behaviour = raw_answers.RawAnswer(
+            lines=["Transfer-Encoding: chunked"], pause_s=0.05
+        )
+        _assert_is_not_relayed(behaviour, path)
+
 
 async def _lift_rate(deployment: standins.Deployment) -> None:
     configuration = standins.configuration(8)
