Take no answer whose body has another transfer coding, or two lengths

Cause: aiohttp takes a body of an unknown coding as it comes, up to the end of the connection, and answer_bodies.framing() took each Transfer-Encoding for chunks, so nobody looked how the connection ended. aiohttp's parser in Python, which runs where no compiled one is installed, takes the last of two lengths. Change: a head may have one Transfer-Encoding, chunked, or one length; no request asks for another coding.

--- a/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
@@ -6,6 +6,8 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp import hdrs
+import multidict
 
 HTTP_MAJOR_VERSION = 1
 # Statuses of final answers.  aiohttp skips interim ones, but for a switch to
@@ -154,4 +156,19 @@
     version = response.version
     if version is None or version.major != HTTP_MAJOR_VERSION:
         return f"{version} is not a version of HTTP/{HTTP_MAJOR_VERSION}"
+    return _framing_problem(response.headers)
+
+
+def _framing_problem(headers: multidict.CIMultiDictProxy[str]) -> str | None:
+    """Return why it is unknown where the body of an answer ends.
+
+    The parsers of aiohttp take a body of another coding as it comes, up to
+    the end of the connection, and the one in Python the last of two lengths.
+    """
+    codings = headers.getall(hdrs.TRANSFER_ENCODING, [])
+    if codings and [coding.lower() for coding in codings] != ["chunked"]:
+        return f"the body has the transfer codings {codings}"
+    lengths = headers.getall(hdrs.CONTENT_LENGTH, [])
+    if len(lengths) > 1 or (lengths and codings):
+        return f"the body has the lengths {lengths} and codings {codings}"
     return None
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -5,6 +5,8 @@
 import typing
 
 import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_parser
 from opentelemetry import trace
 import pytest
 
@@ -12,6 +14,7 @@
 from cardamom_daemon import plain_calls
 from cardamom_gateway import interfaces
 from cardamom_kernel import tables
+from cardamom_platform import answer_bodies
 from cardamom_platform import interfaces as platform_interfaces
 from cardamom_platform import plugins
 from cardamom_platform import pools
@@ -359,6 +362,99 @@
         _assert_is_not_relayed(behaviour, path)
 
 
+CODINGS = (
+    "xchunked",
+    "gzip",
+    "identity",
+    "chunked, gzip",
+    "gzip, chunked",
+    "chunked, chunked",
+    "",
+)
+PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
+
+
+class TestFraming:
+    """Answers that don't state in one way where their body ends."""
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    @pytest.mark.parametrize("coding", CODINGS)
+    def test_answer_in_another_coding_is_not_relayed(
+        self, coding: str, path: str, is_reset: bool
+    ) -> None:
+        """Callers got the coded bytes, or half an answer as a whole one."""
+        body = b"id: 0\ndata: text\n\n"
+        behaviour = raw_answers.RawAnswer(
+            lines=[f"Transfer-Encoding: {coding}"],
+            body=body if path == "/once/a" else raw_answers.TEXT,
+            is_reset=is_reset,
+        )
+        _assert_is_not_relayed(behaviour, path)
+
+    @pytest.mark.parametrize("parser", PARSERS)
+    @pytest.mark.parametrize(
+        "lines",
+        [
+            *([f"Transfer-Encoding: {coding}"] for coding in CODINGS),
+            ["Transfer-Encoding: chunked", "Transfer-Encoding: chunked"],
+            ["Transfer-Encoding: chunked", LENGTH],
+            [LENGTH, "Transfer-Encoding: chunked"],
+            [LENGTH, "Content-Length: 4"],
+            ["Content-Length: 4", LENGTH],
+            [LENGTH, LENGTH],
+            ["Content-Length: 4, 18"],
+            ["Content-Length: +18"],
+            ["Content-Length: -18"],
+            ["Content-Length: 0x12"],
+            ["Content-Length: \u0661"],
+            ["Content-Length: "],
+        ],
+    )
+    def test_both_parsers_of_the_library_refuse_it(
+        self,
+        lines: list[str],
+        parser: type,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """Its parser in Python runs where no compiled one is installed."""
+        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
+        with pytest.raises(pools.NETWORK_ERRORS):
+            asyncio.run(_read_answer(lines, b"4\r\ntext\r\n0\r\n\r\n"))
+
+    @pytest.mark.parametrize("parser", PARSERS)
+    @pytest.mark.parametrize(
+        ("lines", "body"),
+        [
+            (["transfer-encoding: Chunked"], CHUNKS),
+            (["Content-Length: 4"], b"text"),
+            ([], b"text"),
+        ],
+    )
+    def test_both_parsers_read_a_sound_answer(
+        self,
+        lines: list[str],
+        body: bytes,
+        parser: type,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """A check could refuse answers that are well-formed."""
+        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
+        assert asyncio.run(_read_answer(lines, body)) == b"text"
+
+
+async def _read_answer(lines: list[str], body: bytes) -> bytes:
+    """Return the body of an answer, as an instance's own calls read it."""
+    head = raw_answers.signed_head("a1", raw_answers.OK, *lines) + b"\r\n"
+    async with raw_answers.RawServer(head + body) as server:
+        pool = pools.Pool()
+        try:
+            async with pool.session.get(server.url) as answer:
+                return await answer_bodies.read(answer)
+        finally:
+            await pool.close()
+
+
 async def _lift_rate(deployment: standins.Deployment) -> None:
     configuration = standins.configuration(8)
     configuration["tenants"][0]["rate_per_s"] = 0
