Bound the bytes of all answers that a gateway reads

Seen on other systems: bytes without end, in a head or a body, filled the memory of a machine, and the requests of other clients ended with it. Here one such answer was cut off at 8 MiB (an event at 4 MiB), but 40 at once held 341 MB more (streams: 182 MB), and the smallest instance has 200 MB. Cause: the bound was one for each answer, with none for all of them. Change: held_bytes.HeldBytes counts what is held of the answers that are being read, and of incomplete events; beyond 32 MiB the largest answer is given up, which counts as broken, so that calls beside it are served. Left: a finished answer that its caller doesn't read isn't counted.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 import structlog
 
+from cardamom_kernel import held_bytes
 from cardamom_kernel import ids
 from cardamom_kernel import outcomes
 from cardamom_platform import answer_bodies
@@ -477,7 +478,9 @@
         try:
             if call.route.kind is model.CallKind.STREAM and response.ok:
                 return await self._relay_stream(call, attempt, response)
-            body = await answer_bodies.read(response)
+            body = await answer_bodies.read(
+                response, held=self._state.held_answers
+            )
         except attempts.TRANSFER_ERRORS as error:
             raise attempts.AttemptFailed(
                 attempts.FailureKind.BROKEN, pools.describe(error)
@@ -503,12 +506,36 @@
         attempt: attempts.Attempt,
         response: aiohttp.ClientResponse,
     ) -> web.StreamResponse:
+        with self._state.held_answers.hold(response.close) as holding:
+            await self._relay_events(call, attempt, response, holding)
+        if call.event_buffer.is_inside_event and answer_bodies.is_event_stream(
+            response
+        ):
+            raise attempts.AttemptFailed(
+                attempts.FailureKind.BROKEN, "the stream ended inside an event"
+            )
+        answer = await self._answers.start(call, response)
+        if call.event_buffer.incomplete:
+            await self._answers.write(answer, call.event_buffer.incomplete)
+        await self._answers.finish(answer)
+        self._answers.count(call.route.kind.value, response.status, "answered")
+        return answer
+
+    async def _relay_events(
+        self,
+        call: admission.Call,
+        attempt: attempts.Attempt,
+        response: aiohttp.ClientResponse,
+        holding: held_bytes.Holding,
+    ) -> None:
+        """Relay the complete events of a stream up to its end."""
         connection_end = answer_bodies.connection_end(response)
         async with _stall_timeout() as stall:
             async for data in response.content.iter_any():
                 attempt.note_received()
                 last_event = call.event_buffer.last_event
                 events = call.event_buffer.feed(data)
+                holding.resize(len(events) + len(call.event_buffer.incomplete))
                 if not events:
                     continue
                 attempt.note_first_event()
@@ -521,18 +548,6 @@
                     stall_end_s = _stall_end_s(call)
                 stall.reschedule(stall_end_s)
             await answer_bodies.wait_for_connection_end(connection_end)
-        if call.event_buffer.is_inside_event and answer_bodies.is_event_stream(
-            response
-        ):
-            raise attempts.AttemptFailed(
-                attempts.FailureKind.BROKEN, "the stream ended inside an event"
-            )
-        answer = await self._answers.start(call, response)
-        if call.event_buffer.incomplete:
-            await self._answers.write(answer, call.event_buffer.incomplete)
-        await self._answers.finish(answer)
-        self._answers.count(call.route.kind.value, response.status, "answered")
-        return answer
 
     def _note_begun(
         self, call: admission.Call, attempt: attempts.Attempt
--- a/packages/cardamom-gateway/src/cardamom_gateway/state.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/state.py
@@ -4,6 +4,7 @@
 import typing
 
 from cardamom_kernel import clocks
+from cardamom_kernel import held_bytes
 from cardamom_kernel import suspicion
 from cardamom_kernel import tables
 from cardamom_kernel import trait_suspicion
@@ -24,6 +25,8 @@
 OVERAGE_RATIO = 0.6  # share of the allowed rate overage that is used
 SETTLED_OVERAGE_RATIO = 0.75  # the same while all members report
 RETRY_SLACK_RATIO = 0.8  # the remaining retry slack covers late counts
+# Of all answers that are being read, besides buffers of sockets.
+MAX_HELD_ANSWER_BYTES = 32 << 20
 POISON_RETENTION_MS = 60_000  # crashing requests are retried within it
 
 ConfigurationListener = typing.Callable[[model.Configuration], None]
@@ -42,7 +45,8 @@
 
     ``is_stopping`` is set at the start of a planned stop, ``is_closing`` when
     new callers no longer arrive and kept connections are closed.  ``retries``
-    counts the retried requests.
+    counts the retried requests, ``held_answers`` what is held of the answers
+    that are being read.
     """
 
     def __init__(
@@ -85,6 +89,7 @@
         self.part_suspicions = trait_suspicion.TraitSuspicions(clock)
         self.targets_version = tables.NO_VERSION
         self.targets_ms: int = clocks.NEVER_MS
+        self.held_answers = held_bytes.HeldBytes(MAX_HELD_ANSWER_BYTES)
         self.is_stopping = False
         self.is_closing = False
         self._listeners: list[ConfigurationListener] = []
--- a/packages/cardamom-platform/src/cardamom_platform/answer_bodies.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_bodies.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from cardamom_kernel import held_bytes
+
 # Larger answers of targets could fill an instance's memory.
 MAX_ANSWER_BYTES = 8 << 20
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -67,25 +69,34 @@
 
 
 async def read(
-    response: aiohttp.ClientResponse, max_bytes: int = MAX_ANSWER_BYTES
+    response: aiohttp.ClientResponse,
+    max_bytes: int = MAX_ANSWER_BYTES,
+    held: held_bytes.HeldBytes | None = None,
 ) -> bytes:
     """Return an answer's complete body.
 
-    Raises an aiohttp.ClientError if the connection ended before the body did,
-    or if the body has more than ``max_bytes``; the caller then has to close
-    the response.
+    With ``held``, it is counted there while it is read.  Raises an
+    aiohttp.ClientError if the connection ended before the body did, if the
+    body has more than ``max_bytes``, or if it is given up for other answers;
+    the caller then has to close the response.
     """
     end = connection_end(response)
     chunks: list[bytes] = []
     size_bytes = 0
-    async for data in response.content.iter_any():
-        size_bytes += len(data)
-        if size_bytes > max_bytes:
-            raise aiohttp.ClientPayloadError(
-                f"the body has more than {max_bytes} bytes"
-            )
-        chunks.append(data)
-    await wait_for_connection_end(end)
+    all_held = held or held_bytes.HeldBytes(max_bytes)
+    with all_held.hold(response.close) as holding:
+        async for data in response.content.iter_any():
+            size_bytes += len(data)
+            if size_bytes > max_bytes:
+                raise aiohttp.ClientPayloadError(
+                    f"the body has more than {max_bytes} bytes"
+                )
+            try:
+                holding.resize(size_bytes)
+            except held_bytes.TooManyBytes as error:
+                raise aiohttp.ClientPayloadError(str(error)) from error
+            chunks.append(data)
+        await wait_for_connection_end(end)
     return b"".join(chunks)
 
 
--- a/tests/wire/scenarios.py
+++ b/tests/wire/scenarios.py
@@ -43,3 +43,16 @@
     """Return the headers of a call to a model, with 100 prompt tokens."""
     name = f"{model}/{adapter}" if adapter else model
     return {"Model": name, "Token_Usage": "100,20"}
+
+
+async def lift_rate(deployment: standins.Deployment) -> None:
+    """Put a configuration without a limit of the team in force."""
+    configuration = standins.configuration(8)
+    configuration["tenants"][0]["rate_per_s"] = 0
+    deployment.store.put("op", "config", configuration)
+    await standins.wait_until(
+        lambda: all(
+            gateway.state.configuration.version == 8
+            for gateway in deployment.gateways
+        )
+    )
--- a/tests/wire/test_endless_answers.py
+++ b/tests/wire/test_endless_answers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import time
+import tracemalloc
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +22,10 @@
 # The target stops by itself here, so that a failing test ends.
 MAX_SENT_BYTES = 200 << 20
 DEADLINE_S = 3.0
+ENDLESS_CALLS = 40
+CALLS_BESIDE = 20
+# The smallest instance has 200 MB; an idle one takes 64 MB of them.
+MAX_MORE_BYTES = (200 - 64) * 1_000_000
 
 
 class EndlessAnswer:
@@ -181,3 +186,62 @@
 
         run = functools.partial(scenarios.run_scenario, plain=1, engines=1)
         run(scenario)
+
+
+async def _answer_endlessly(
+    replica: standins.ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Answer calls whose id begins with an e without end, others at once."""
+    attempt = request.headers["Attempt-Id"]
+    if not attempt.startswith("e"):
+        return await standins.answer_at_once(replica, request)
+    return await EndlessAnswer(_head(attempt) + b"\r\n")(replica, request)
+
+
+async def _status(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    path: str,
+    attempt: str,
+) -> int:
+    head = scenarios.headers(attempt, **scenarios.model_headers("m1"))
+    async with session.post(deployment.url(path), headers=head) as answer:
+        await answer.read()
+        return answer.status
+
+
+class TestManyEndlessAnswers:
+    """As many answers without end at once as fill an instance's memory."""
+
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    def test_memory_is_bounded_and_calls_beside_them_are_served(
+        self, path: str
+    ) -> None:
+        """Each was bounded, but all of them together ended the instance."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await scenarios.lift_rate(deployment)
+            for replica in deployment.replicas:
+                replica.behaviour = _answer_endlessly
+            tracemalloc.start()
+            idle_bytes, _ = tracemalloc.get_traced_memory()
+            endless = [
+                asyncio.create_task(
+                    _status(deployment, session, path, f"e{number}")
+                )
+                for number in range(ENDLESS_CALLS)
+            ]
+            beside = [
+                await _status(deployment, session, path, f"s{number}")
+                for number in range(CALLS_BESIDE)
+            ]
+            statuses = await asyncio.gather(*endless)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert beside == [200] * CALLS_BESIDE
+            assert set(statuses) <= {502, 504}
+            assert peak_bytes - idle_bytes < MAX_MORE_BYTES
+
+        scenarios.run_scenario(scenario, plain=4, engines=4)
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -326,7 +326,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await _lift_rate(deployment)
+            await scenarios.lift_rate(deployment)
             relayed = []
             for number, answer in enumerate(answers()):
                 answer.pause_s = pause_s
@@ -455,14 +455,6 @@
             await pool.close()
 
 
-async def _lift_rate(deployment: standins.Deployment) -> None:
-    configuration = standins.configuration(8)
-    configuration["tenants"][0]["rate_per_s"] = 0
-    deployment.store.put("op", "config", configuration)
-    state = deployment.gateways[0].state
-    await standins.wait_until(lambda: state.configuration.version == 8)
-
-
 async def _post(
     deployment: standins.Deployment,
     session: aiohttp.ClientSession,
