Take no answer of a store with a status of 300 to 399 for success

Seen: a write to the object store that was answered 300 or 302 (without a place to go to) counted as done, and a commit to the table as committed.

--- a/packages/cardamom-platform/src/cardamom_platform/plugins.py
+++ b/packages/cardamom-platform/src/cardamom_platform/plugins.py
@@ -20,6 +20,7 @@
 
 # A whole table in one answer.
 MAX_STORED_BYTES = 64 << 20
+SUCCESS_STATUSES = range(200, 300)
 CALL_ERRORS = (*pools.NETWORK_ERRORS, ValueError)
 
 Json = dict[str, typing.Any]
@@ -66,7 +67,7 @@
                 headers=self._headers,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                response.raise_for_status()
+                _require_success(response)
                 parsed = orjson.loads(
                     await answer_bodies.read(response, MAX_STORED_BYTES)
                 )
@@ -78,6 +79,14 @@
         return parsed
 
 
+def _require_success(response: aiohttp.ClientResponse) -> None:
+    """Raise an aiohttp.ClientError unless the status is one of success."""
+    if response.status not in SUCCESS_STATUSES:
+        raise aiohttp.ClientPayloadError(
+            f"status {response.status} is not one of success"
+        )
+
+
 @registry.PLUGINS.register("table", "http")
 class HttpTable(tables.Table):
     """A client of the transactional table.
@@ -204,7 +213,7 @@
                 data=data,
                 timeout=self._timeout,
             ) as response:
-                response.raise_for_status()
+                _require_success(response)
         except CALL_ERRORS as error:
             raise interfaces.ObjectsUnavailable(repr(error)) from error
 
@@ -217,7 +226,7 @@
             ) as response:
                 if response.status == 404:
                     return None
-                response.raise_for_status()
+                _require_success(response)
                 return await answer_bodies.read(response, MAX_STORED_BYTES)
         except CALL_ERRORS as error:
             raise interfaces.ObjectsUnavailable(repr(error)) from error
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -155,9 +155,16 @@
     return asyncio.run(run())
 
 
-@pytest.mark.parametrize("start_line", START_LINES)
-class TestOwnCalls:
-    """Broken answers to calls of an instance's own."""
+NO_SUCCESS = (
+    "HTTP/1.1 300 Multiple Choices",
+    "HTTP/1.1 302 Found",
+    "HTTP/1.1 304 Not Modified",
+)
+
+
+@pytest.mark.parametrize("start_line", (*START_LINES, *NO_SUCCESS))
+class TestStores:
+    """Answers without success to reads and writes of an instance's own."""
 
     def test_object_is_not_written(self, start_line: str) -> None:
         """A write that the store had not taken counted as done."""
@@ -215,6 +222,11 @@
         with pytest.raises(interfaces.StoreUnavailable):
             _answered(start_line, call, body)
 
+
+@pytest.mark.parametrize("start_line", START_LINES)
+class TestOwnCalls:
+    """Broken answers to other calls of an instance or an operator."""
+
     def test_plain_call_of_the_daemon_fails(self, start_line: str) -> None:
         """Callers of the daemon got the broken answer as the service's."""
 
