Answer requests that still run when a planned stop ends

Seen on other systems: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them ones that may not be repeated (LOST). Here requests that come later than 2.6 s after the signal are refused as not run, at once, and never sent, which a new case shows; but a call that still ran at the end of the grace, taken up to 2.6 s after the signal, had its connection closed without an answer. Cause: close() cancels the handlers, and a handler that is cancelled takes its caller for gone. Change: at the end, the deadlines of all requests in flight are moved to now, so that their attempts end as at any deadline. What has been sent gets 502, what hasn't a 503 that it has not run; a stream that has begun is broken off, as before. 0.2 s of the reserve for closing are for these answers. Evidence: the three cases of calls that run for long got no answer before and get 502 now.

--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -66,6 +66,8 @@
 STOP_ACCEPTING_DELAY_MS = 2_600
 # Time of the grace period that is reserved for closing connections.
 CLOSE_RESERVE_MS = 700
+# Time of it in which unfinished requests are answered.
+FINAL_ANSWERS_MS = 200
 # Time of the grace period that is reserved for last writes to the store.
 FINAL_WRITES_TIMEOUT_MS = 600
 # Handlers are cancelled soon, as their requests have been waited for.
@@ -800,6 +802,8 @@
         await asyncio.gather(
             self._release_lease_and_row(), self._wait_for_requests(end_ms)
         )
+        self.forwarder.end_requests()
+        await self._wait_for_requests(end_ms + FINAL_ANSWERS_MS)
         await self.close()
         LOG.info("gateway: stopped", in_flight=self.forwarder.in_flight)
         self.stopped.set()
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -92,6 +92,16 @@
         self._permits = permits
         self._reachability = reachable
         self.in_flight = 0
+        self._deadlines: set[asyncio.Timeout] = set()
+        self._is_ended = False
+
+    def end_requests(self) -> None:
+        """Answer all requests in flight now, as this instance ends."""
+        self._is_ended = True
+        now_s = asyncio.get_running_loop().time()
+        for deadline in self._deadlines:
+            if not deadline.expired():
+                deadline.reschedule(now_s)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the answer to a request, which may be a refusal."""
@@ -129,28 +139,53 @@
         self, call: admission.Call
     ) -> web.StreamResponse:
         remaining_ms = call.deadline_ms - self._state.clock.now_ms()
+        deadline = asyncio.timeout(
+            max(0, remaining_ms + TIMEOUT_GRACE_MS) / MS_PER_S
+        )
         try:
-            async with asyncio.timeout(
-                max(0, remaining_ms + TIMEOUT_GRACE_MS) / MS_PER_S
-            ):
+            async with deadline:
+                self._deadlines.add(deadline)
                 return await self._serve(call)
         except TimeoutError:
+            reason = "the deadline has passed"
+            if self._is_ended:
+                reason = "this instance has stopped"
             if call.has_started_answer:
-                return self._answers.abort(call, "the deadline has passed")
-            raise outcomes.RequestRefused(
-                outcomes.Refusal(
-                    outcomes.Code.DEADLINE_EXCEEDED
-                    if call.sent_attempts
-                    else outcomes.Code.DEADLINE_UNREACHABLE,
-                    "the deadline has passed",
-                    outcomes.Step.FIRST_BYTE,
-                    not_run=not call.sent_attempts,
-                    peer=call.last_target,
-                    retry_after_ms=None
-                    if call.sent_attempts
-                    else admission.MIN_RATE_RETRY_MS,
-                )
-            ) from None
+                return self._answers.abort(call, reason)
+            raise self._unfinished(call, reason) from None
+        finally:
+            self._deadlines.discard(deadline)
+
+    def _unfinished(
+        self, call: admission.Call, reason: str
+    ) -> outcomes.RequestRefused:
+        """Return the refusal of a request that has no answer in time."""
+        if not call.sent_attempts:
+            code = (
+                outcomes.Code.DRAINING
+                if self._is_ended
+                else outcomes.Code.DEADLINE_UNREACHABLE
+            )
+            return admission.refused(
+                code,
+                reason,
+                outcomes.Step.FIRST_BYTE,
+                peer=call.last_target,
+                retry_after_ms=admission.MIN_RATE_RETRY_MS,
+            )
+        if self._is_ended:
+            return target_choice.target_failed(
+                call, reason, outcomes.Step.FIRST_BYTE
+            )
+        return outcomes.RequestRefused(
+            outcomes.Refusal(
+                outcomes.Code.DEADLINE_EXCEEDED,
+                reason,
+                outcomes.Step.FIRST_BYTE,
+                not_run=False,
+                peer=call.last_target,
+            )
+        )
 
     async def _serve(self, call: admission.Call) -> web.StreamResponse:
         if call.route.is_resumable and call.head.last_event:
--- a/tests/wire/test_planned_stop.py
+++ b/tests/wire/test_planned_stop.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp import web
+import pytest
 
 from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
@@ -114,3 +115,92 @@
             assert failures == []
 
         scenarios.run_scenario(scenario, plain=6, engines=2, gateways=2)
+
+
+LATE_S = 2.3  # after the signal, while new connections may still come
+TOO_LATE_S = 3.0  # when the balancer sends no more of them
+LONG_S = 60.0
+FIRST_CALLS = 2
+
+
+async def _run_for_long(
+    replica: standins.ReplicaStandIn, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Answer long after the end of the grace, the first call at once."""
+    if not request.headers["Attempt-Id"].startswith("first"):
+        await asyncio.sleep(LONG_S)
+    return await standins.answer_at_once(replica, request)
+
+
+async def _call_after(
+    deployment: standins.Deployment, path: str, delay_s: float
+) -> tuple[int, str, str]:
+    """Return status, text and Connection of a call on a kept connection.
+
+    The status is 0 for a connection that was closed without an answer.
+    """
+    async with aiohttp.ClientSession() as session:
+        for attempt in ("first", "second"):
+            head = scenarios.headers(
+                f"{attempt}{path}{delay_s}",
+                Deadline_Ms="30000",
+                **scenarios.model_headers("m1"),
+            )
+            try:
+                async with session.post(
+                    deployment.url(path), headers=head
+                ) as answer:
+                    text = await answer.text()
+            except aiohttp.ClientError as error:
+                return 0, repr(error), ""
+            if attempt == "first":
+                assert answer.status == 200
+                deployment.gateways[0].begin_stop()
+                await asyncio.sleep(delay_s)
+        return answer.status, text, answer.headers.get("Connection", "")
+
+
+class TestLongCalls:
+    """Calls that still run at the end of the grace."""
+
+    @pytest.mark.parametrize("path", ["/write/a", "/read/a", "/once/a"])
+    def test_call_that_still_runs_at_the_end_is_answered(
+        self, path: str
+    ) -> None:
+        """Its connection was closed without an answer."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            for replica in deployment.replicas:
+                replica.behaviour = _run_for_long
+            gateway = deployment.gateways[0]
+            status, text, _ = await _call_after(deployment, path, LATE_S)
+            await asyncio.wait_for(gateway.stopped.wait(), 8)
+            assert status == 502, text
+
+        scenarios.run_scenario(scenario, plain=2, engines=2)
+
+    @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    def test_call_that_comes_late_in_the_grace_is_refused_at_once(
+        self, path: str
+    ) -> None:
+        """It would be cut off at the end, and may not be repeated then."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            for replica in deployment.replicas:
+                replica.behaviour = _run_for_long
+            running = asyncio.create_task(_call_after(deployment, path, 0.1))
+            status, text, connection = await _call_after(
+                deployment, path, TOO_LATE_S
+            )
+            await running
+            assert status == 503
+            assert text.startswith("draining")
+            assert connection == "close"
+            requests = [r for p in deployment.replicas for r in p.requests]
+            assert len(requests) == FIRST_CALLS + 1
+
+        scenarios.run_scenario(scenario, plain=2, engines=2)
