Believe a refusal on a kept connection only of a request that it names

Seen on other systems: a faulty replica wrote an earlier refusal once more on a kept connection, and clients were told "not run, try again" for requests that a replica had run or was running (REFUSED, TWICE). Here calls that may not be repeated have connections of their own, also through a peer, so they are safe, which new cases show. But a resumable stream was called refused while its engine ran it, if the refusal named no request; and an idempotent call that waits for room and goes to the same target again took the copy of its own refusal, with its own id, for the second answer. Cause: an answer without an id passed for one to any request; a second try could use the connection of the first. Change: "not run" without an id counts only on a new connection, else the answer is a broken one, whose connection is closed; a target that has refused a request gets it again over a new connection only. Left: the daemon's model calls, which may be repeated, still take a refusal that names no request.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/admission.py
@@ -53,9 +53,10 @@
     ``software_version`` is that of the target that began the stream, None
     before the first event.  ``broken_targets`` are the tried targets that
     were reached, and whose answer broke off; ``full_targets`` had no room for
-    it.  ``relay`` is the peer through which the latest attempt went, None if
-    it went straight to the target; ``tried_relays`` did not reach a target
-    either.  ``has_permit`` is whether the latest attempt has a permit.
+    it, and ``refusing_targets`` stated that they had not run it.  ``relay``
+    is the peer through which the latest attempt went, None if it went
+    straight to the target; ``tried_relays`` did not reach a target either.
+    ``has_permit`` is whether the latest attempt has a permit.
     """
 
     request: web.BaseRequest
@@ -82,6 +83,9 @@
     tried_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     broken_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
     full_targets: set[ids.TargetId] = dataclasses.field(default_factory=set)
+    refusing_targets: set[ids.TargetId] = dataclasses.field(
+        default_factory=set
+    )
     tried_relays: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     relay: peers.Member | None = None
     has_permit: bool = False
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -215,6 +215,12 @@
                 FailureKind.BROKEN, "the answer belongs to another request"
             )
         if answer.has_not_run or response.status == STATUS_MISDIRECTED_REQUEST:
+            if not (answer.attempt or outgoing.needs_new_connection):
+                response.close()
+                raise AttemptFailed(
+                    FailureKind.BROKEN,
+                    "a refusal on a kept connection names no request",
+                )
             status = response.status
             response.release()
             raise AttemptFailed(
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -310,6 +310,8 @@
     ) -> None:
         state = self._state
         call.tried_targets.add(record.target.id)
+        if failure.kind is attempts.FailureKind.NOT_RUN:
+            call.refusing_targets.add(record.target.id)
         if failure.is_rejection:
             self._choice.rooms.note_rejected(call, record)
         relay = call.relay
@@ -501,7 +503,9 @@
             ),
             body=call.body,
             attempt=call.head.attempt,
-            needs_new_connection=not call.route.is_retryable,
+            # A kept one may bring the earlier refusal of a target once more.
+            needs_new_connection=not call.route.is_retryable
+            or record.target.id in call.refusing_targets,
             on_sent=lambda: _note_sent(call, attempt),
         )
 
