Quote no head of a broken answer either

Cause: ServerDisconnectedError may hold the head that aiohttp had parsed, and its repr() was sent to callers as the reason of a 502. Change: pools.describe() names only its kind.

--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -29,6 +29,8 @@
         return f"the answer is malformed: {type(cause).__name__}"
     if isinstance(error, aiohttp.ClientResponseError):
         return f"the answer is not usable: status {error.status}"
+    if isinstance(error, aiohttp.ServerDisconnectedError):
+        return type(error).__name__
     return repr(error)
 
 
