Send broken answers with whole events, so that streams could take them

Cause: the body of the broken answers was no event, so a stream got 502 for that, whatever its head. Change: bodies of the tests are whole events, also the short ones.

--- a/tests/wire/raw_answers.py
+++ b/tests/wire/raw_answers.py
@@ -9,7 +9,8 @@
 from tests.wire import standins
 
 OK = "HTTP/1.1 200 OK"
-TEXT = b"text of the target"
+# A whole event, so that it may also be the body of a stream.
+TEXT = b"id: 0\ndata: text of the target\n\n"
 HeadLines = typing.Sequence[str | bytes]
 
 
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -54,7 +54,7 @@
     ) as answer:
         assert answer.status == 502
         assert "Response-Signature" not in answer.headers
-        assert raw_answers.TEXT not in await answer.read()
+        assert b"text of" not in await answer.read()
     requests = [r for replica in deployment.replicas for r in replica.requests]
     assert len(requests) == 1
 
@@ -111,7 +111,7 @@
                     ),
                 ) as answer:
                     assert answer.status == 200
-                    assert raw_answers.TEXT not in await answer.read()
+                    assert b"text of" not in await answer.read()
 
         scenarios.run_scenario(scenario, plain=2, engines=2)
 
@@ -266,7 +266,9 @@
         assert answer.body["error"]["code"] == "unreached"
 
 
-CONTROL_BYTES = tuple(map(bytes, zip((0, 1, 8, 10, 11, 12, 13, 27, 31, 127))))
+CONTROL_BYTES = tuple(
+    bytes([value]) for value in (0, 1, 8, 10, 11, 12, 13, 27, 31, 127)
+)
 NAMES: tuple[bytes, ...] = (
     b"Odd Name",
     b"Odd\tName",
@@ -293,11 +295,12 @@
     *(byte + b"Content-Length" for byte in CONTROL_BYTES),
     *(b"Content-Length" + byte for byte in CONTROL_BYTES),
 )
-CHUNKS = b"4\r\ntext\r\n0\r\n\r\n"
+SHORT = b"id\n\n"  # a whole event of four bytes
+CHUNKS = b"4\r\n" + SHORT + b"\r\n0\r\n\r\n"
 
 
 def _odd_fields() -> typing.Iterator[raw_answers.RawAnswer]:
-    """Yield answers with an odd field, first or last in the head."""
+    """Yield answers with an odd field at the beginning, or further on."""
     for field in (
         *(name + b": x" for name in NAMES),
         *(b"Odd: a" + byte + b"b" for byte in CONTROL_BYTES),
@@ -313,10 +316,10 @@
     """Yield answers whose odd field could end the body early."""
     for name in LENGTH_NAMES:
         is_chunked = name.startswith(b"Transfer")
-        value, body = (b"chunked", CHUNKS) if is_chunked else (b"4", b"text")
+        value, body = (b"chunked", CHUNKS) if is_chunked else (b"4", SHORT)
         field = name + b": " + value
         first = raw_answers.OK.encode() + b"\r\n" + field
-        for rest in (b"", b" of the target"):
+        for rest in (b"", raw_answers.TEXT):
             yield raw_answers.RawAnswer(lines=[field], body=body + rest)
             yield raw_answers.RawAnswer(first, body=body + rest)
 
@@ -347,7 +350,7 @@
                 status, body = await _post(
                     deployment, session, path, f"a{number}"
                 )
-                if status != 502 or b"text" in body:
+                if status != 502 or b"text of" in body:
                     relayed.append((answer.start_line, answer.lines, status))
             assert not relayed
 
@@ -396,10 +399,8 @@
         self, coding: str, path: str, is_reset: bool
     ) -> None:
         """Callers got the coded bytes, or half an answer as a whole one."""
-        body = b"id: 0\ndata: text\n\n"
         behaviour = raw_answers.RawAnswer(
             lines=[f"Transfer-Encoding: {coding}"],
-            body=body if path == "/once/a" else raw_answers.TEXT,
             is_reset=is_reset,
         )
         _assert_is_not_relayed(behaviour, path)
@@ -432,15 +433,15 @@
         """Its parser in Python runs where no compiled one is installed."""
         monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
         with pytest.raises(pools.NETWORK_ERRORS):
-            asyncio.run(_read_answer(lines, b"4\r\ntext\r\n0\r\n\r\n"))
+            asyncio.run(_read_answer(lines, CHUNKS))
 
     @pytest.mark.parametrize("parser", PARSERS)
     @pytest.mark.parametrize(
         ("lines", "body"),
         [
             (["transfer-encoding: Chunked"], CHUNKS),
-            (["Content-Length: 4"], b"text"),
-            ([], b"text"),
+            (["Content-Length: 4"], SHORT),
+            ([], SHORT),
         ],
     )
     def test_both_parsers_read_a_sound_answer(
@@ -452,7 +453,7 @@
     ) -> None:
         """A check could refuse answers that are well-formed."""
         monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
-        assert asyncio.run(_read_answer(lines, body)) == b"text"
+        assert asyncio.run(_read_answer(lines, body)) == SHORT
 
 
 async def _read_answer(lines: list[str], body: bytes) -> bytes:
