--- a/tests/kernel/test_held_bytes.py
+++ b/tests/kernel/test_held_bytes.py
@@ -13,8 +13,10 @@
 class Messages:
     """Messages that are held until the end of the test."""
 
-    def __init__(self) -> None:
-        self.held = held_bytes.HeldBytes(MAX_BYTES)
+    def __init__(
+        self, kind: type[held_bytes.HeldBytes] = held_bytes.HeldBytes
+    ) -> None:
+        self.held = kind(MAX_BYTES)
         self.evicted: list[str] = []
         self.stack = contextlib.ExitStack()
 
@@ -27,6 +29,21 @@
         return holding
 
 
+class NeverEvicts(held_bytes.HeldBytes):
+    """A bound that is not kept."""
+
+    def _evict_largest(self, growing: held_bytes.Holding) -> None:
+        pass
+
+
+class SubtractsTwice(held_bytes.HeldBytes):
+    """A bound that forgets what is still held."""
+
+    def _remove(self, holding: held_bytes.Holding) -> None:
+        self.total_bytes -= holding.size_bytes
+        super()._remove(holding)
+
+
 class TestHeldBytes:
     """Messages that fill the bound, and others beside them."""
 
@@ -80,19 +97,32 @@
     @pytest.mark.parametrize("seed", range(20))
     def test_bound_holds_and_small_messages_go_on(self, seed: int) -> None:
         """Any order of growth and ends."""
-        rng, messages = random.Random(seed), Messages()
-        holding_by_name: dict[str, held_bytes.Holding] = {}
-        ended: set[str] = set()
-        for number in range(300):
-            if len(holding_by_name) < 12:
-                holding_by_name[f"m{number}"] = messages.open(f"m{number}")
-            name, holding = rng.choice(list(holding_by_name.items()))
-            try:
-                holding.resize(rng.randrange(MAX_BYTES // 4))
-            except held_bytes.TooManyBytes:
-                ended.add(name)
-            for name in ended | set(messages.evicted):
-                holding_by_name.pop(name, None)
-            sizes = [h.size_bytes for h in holding_by_name.values()]
-            assert messages.held.total_bytes == sum(sizes) <= MAX_BYTES
-        assert messages.evicted
+        _grow_at_random(Messages(), seed)
+
+    @pytest.mark.parametrize("kind", [NeverEvicts, SubtractsTwice])
+    def test_random_growth_finds_a_broken_bound(
+        self, kind: type[held_bytes.HeldBytes]
+    ) -> None:
+        """The check of random growth could accept anything."""
+        with pytest.raises(AssertionError):
+            _grow_at_random(Messages(kind), seed=1)
+
+
+def _grow_at_random(messages: Messages, seed: int) -> None:
+    """Resize messages, and check the total and the bound each time."""
+    rng = random.Random(seed)
+    holding_by_name: dict[str, held_bytes.Holding] = {}
+    ended: set[str] = set()
+    for number in range(300):
+        if len(holding_by_name) < 12:
+            holding_by_name[f"m{number}"] = messages.open(f"m{number}")
+        name, holding = rng.choice(list(holding_by_name.items()))
+        try:
+            holding.resize(rng.randrange(MAX_BYTES // 4))
+        except held_bytes.TooManyBytes:
+            ended.add(name)
+        for name in ended | set(messages.evicted):
+            holding_by_name.pop(name, None)
+        sizes = [h.size_bytes for h in holding_by_name.values()]
+        assert messages.held.total_bytes == sum(sizes) <= MAX_BYTES
+    assert messages.evicted
