Take a body that can't be parsed for a broken one with either parser

Seen in a new case: with aiohttp's parser in Python, a broken chunk after the head raised an error that no reader expects, so that its caller would get a 500. Cause: that parser gives its own HttpProcessingError to whoever waits for the body; pools.describe() went by the kind of the cause alone. Change: NETWORK_ERRORS holds it, one list for gateway, daemon, stores and command line; an incomplete body is described by how its connection ended.

--- a/packages/cardamom-ctl/src/cardamom_ctl/client.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/client.py
@@ -7,9 +7,9 @@
 import aiohttp
 
 from cardamom_platform import connectors
+from cardamom_platform import pools
 
 TIMEOUT_S = 30.0
-NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 Json = dict[str, typing.Any]
 
@@ -58,7 +58,7 @@
                     return await self._send(session, method, url + path, body)
                 except aiohttp.ClientConnectorError as error:
                     errors.append(f"{url}: {error}")
-                except NETWORK_ERRORS as error:
+                except pools.NETWORK_ERRORS as error:
                     errors.append(f"{url}: no answer: {error!r}")
                     break
         message = "; ".join(errors)
--- a/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
+++ b/packages/cardamom-ctl/src/cardamom_ctl/evacuations.py
@@ -11,6 +11,7 @@
 from prometheus_client import parser
 
 from cardamom_platform import connectors
+from cardamom_platform import pools
 
 IN_FORCE = "cardamom_evacuation_in_force"
 DATA_CENTRE = "data_centre"
@@ -61,7 +62,7 @@
             if answer.status != 200:
                 return View(address, None, f"status {answer.status}")
         return View(address, decode(text))
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+    except (*pools.NETWORK_ERRORS, ValueError) as error:
         reason = str(error) or type(error).__name__
         return View(address, None, f"metrics of {address}: {reason}")
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
@@ -32,9 +32,7 @@
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 20.0
 CALL_ERRORS = (
-    aiohttp.ClientError,
-    TimeoutError,
-    OSError,
+    *pools.NETWORK_ERRORS,
     ValueError,
     KeyError,
 )
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -46,8 +46,7 @@
     aiohttp.ConnectionTimeoutError,
 )
 TRANSFER_ERRORS = (
-    aiohttp.ClientError,
-    OSError,
+    *pools.NETWORK_ERRORS,
     ValueError,
     asyncio.IncompleteReadError,
 )
--- a/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
@@ -120,7 +120,7 @@
     def _parse(self, data: bytes) -> None:
         """Parse bytes; a body that can't be parsed ends at once.
 
-        aiohttp tells only those who wait for a head of the parser's error.
+        aiohttp tells only those who wait for a head of its parser's error.
         """
         body = self._payload
         super().data_received(data)
--- a/packages/cardamom-platform/src/cardamom_platform/pools.py
+++ b/packages/cardamom-platform/src/cardamom_platform/pools.py
@@ -14,19 +14,30 @@
 CONNECT_TIMEOUT_S = 1.0
 REPLACED_SESSION_TIMEOUT_S = 130.0
 
-NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+NETWORK_ERRORS = (
+    aiohttp.ClientError,
+    # Of bodies that aiohttp's parser in Python can't parse.
+    http_exceptions.HttpProcessingError,
+    asyncio.TimeoutError,
+    OSError,
+)
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+# Beginning of the message of aiohttp.
+INCOMPLETE_BODY = "Response payload is not completed"
 
 
 def describe(error: Exception) -> str:
     """Return a description of a network error that any caller may read.
 
     aiohttp's own, for bytes that it can't parse, holds these bytes, which may
-    be of another caller's answer, and the head of the request.
+    be of another caller's answer, and the head of the request.  That of a
+    body that isn't complete holds only how its connection ended.
     """
-    cause = error.__cause__
-    if isinstance(cause, http_exceptions.HttpProcessingError):
-        return f"the answer is malformed: {type(cause).__name__}"
+    if str(error).startswith(INCOMPLETE_BODY):
+        return repr(error)
+    for malformed in (error, error.__cause__):
+        if isinstance(malformed, http_exceptions.HttpProcessingError):
+            return f"the answer is malformed: {type(malformed).__name__}"
     if isinstance(error, aiohttp.ClientResponseError):
         return f"the answer is not usable: status {error.status}"
     if isinstance(error, aiohttp.ServerDisconnectedError):
--- a/tests/wire/raw_answers.py
+++ b/tests/wire/raw_answers.py
@@ -73,10 +73,17 @@
 
 
 class RawServer:
-    """Sends the same bytes as the answer to each request."""
+    """Sends the same bytes as the answer to each request.
 
-    def __init__(self, answer: bytes) -> None:
-        self._answer = answer
+    The body comes ``pause_s`` after the head.
+    """
+
+    def __init__(
+        self, head: bytes, body: bytes = b"", pause_s: float = 0.0
+    ) -> None:
+        self._head = head
+        self._body = body
+        self._pause_s = pause_s
         self._server: asyncio.Server | None = None
         self.port = 0
 
@@ -108,6 +115,8 @@
     ) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._answer)
+            writer.write(self._head)
+            await asyncio.sleep(self._pause_s)
+            writer.write(self._body)
             await writer.drain()
         writer.close()
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -357,6 +357,9 @@
         scenarios.run_scenario(scenario, plain=2, engines=2)
 
 
+PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
+
+
 class TestBrokenBodies:
     """Bodies that the library can't parse."""
 
@@ -376,6 +379,27 @@
         )
         _assert_is_not_relayed(behaviour, path)
 
+    @pytest.mark.parametrize("parser", PARSERS)
+    @pytest.mark.parametrize("pause_s", [0.0, 0.02])
+    @pytest.mark.parametrize(
+        "body",
+        [b"no chunk\r\n", b"+4\r\n", b"4\r\ntoo long\r\n", b"4;\x00\r\n"],
+    )
+    def test_both_parsers_of_the_library_fail_in_one_way(
+        self,
+        body: bytes,
+        pause_s: float,
+        parser: type,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """An error of another kind got a 500, or quoted the bytes."""
+        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
+        lines = ["Transfer-Encoding: chunked"]
+        with pytest.raises(pools.NETWORK_ERRORS) as raised:
+            asyncio.run(_read_answer(lines, body, pause_s))
+        description = pools.describe(raised.value)
+        assert body.strip().decode() not in description
+
 
 CODINGS = (
     "xchunked",
@@ -386,7 +410,6 @@
     "chunked, chunked",
     "",
 )
-PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
 
 
 class TestFraming:
@@ -456,10 +479,12 @@
         assert asyncio.run(_read_answer(lines, body)) == SHORT
 
 
-async def _read_answer(lines: list[str], body: bytes) -> bytes:
+async def _read_answer(
+    lines: list[str], body: bytes, pause_s: float = 0.0
+) -> bytes:
     """Return the body of an answer, as an instance's own calls read it."""
     head = raw_answers.signed_head("a1", raw_answers.OK, *lines) + b"\r\n"
-    async with raw_answers.RawServer(head + body) as server:
+    async with raw_answers.RawServer(head, body, pause_s) as server:
         pool = pools.Pool()
         try:
             async with pool.session.get(server.url) as answer:
