Read no field of an answer with more than 8 KiB

Seen in a new case: 40 answers at once whose trailers have no end held 609 MB more; the smallest instance has 200 MB. Cause: the session to targets let aiohttp's parser keep 128 fields of 64 KiB each, after the body too, where the bound on heads doesn't reach. Change: aiohttp's own limit of 8,190 bytes for a field, as in all other sessions; what callers send may have 64 KiB as before. Evidence: the two cases with long trailers failed before, by that figure, and pass now, as the four others do (body, trailers of 8 KB).

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -293,8 +293,6 @@
             ),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
-            max_line_size=1 << 16,
-            max_field_size=1 << 16,
             trace_configs=[_trace_sent_requests()],
         )
         # aiohttp would repeat a GET by itself, outside of the retry budget.
--- a/tests/wire/test_endless_answers.py
+++ b/tests/wire/test_endless_answers.py
@@ -73,6 +73,7 @@
 
 BODY = _head("a1") + b"\r\n"
 CHUNKED = _head("a1", "Transfer-Encoding: chunked") + b"\r\n"
+TRAILERS = CHUNKED + b"1\r\nx\r\n0\r\n"
 CHUNK_OF_CHUNK = b"10000\r\n" + CHUNK + b"\r\n"
 
 
@@ -189,13 +190,17 @@
 
 
 async def _answer_endlessly(
-    replica: standins.ReplicaStandIn, request: web.BaseRequest
+    replica: standins.ReplicaStandIn,
+    request: web.BaseRequest,
+    beginning: bytes,
+    chunk: bytes,
 ) -> web.StreamResponse:
     """Answer calls whose id begins with an e without end, others at once."""
     attempt = request.headers["Attempt-Id"]
     if not attempt.startswith("e"):
         return await standins.answer_at_once(replica, request)
-    return await EndlessAnswer(_head(attempt) + b"\r\n")(replica, request)
+    head = beginning.replace(b"a1", attempt.encode())
+    return await EndlessAnswer(head, chunk)(replica, request)
 
 
 async def _status(
@@ -214,8 +219,17 @@
     """As many answers without end at once as fill an instance's memory."""
 
     @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
+    @pytest.mark.parametrize(
+        ("beginning", "chunk"),
+        [
+            (BODY, CHUNK),
+            (TRAILERS, b"Name: " + CHUNK[:60_000] + b"\r\n"),
+            (TRAILERS, b"Name: " + CHUNK[:8_000] + b"\r\n"),
+        ],
+        ids=["body", "long trailers", "trailers"],
+    )
     def test_memory_is_bounded_and_calls_beside_them_are_served(
-        self, path: str
+        self, path: str, beginning: bytes, chunk: bytes
     ) -> None:
         """Each was bounded, but all of them together ended the instance."""
 
@@ -224,7 +238,9 @@
         ) -> None:
             await scenarios.lift_rate(deployment)
             for replica in deployment.replicas:
-                replica.behaviour = _answer_endlessly
+                replica.behaviour = functools.partial(
+                    _answer_endlessly, beginning=beginning, chunk=chunk
+                )
             tracemalloc.start()
             idle_bytes, _ = tracemalloc.get_traced_memory()
             endless = [
