Keep a peer elsewhere in a test, whatever the store's rows say

The test tells an instance that its peer is in another region; a change of the rows of instances, which comes some time after the start, sets that right, and then relaying is allowed. Traced in 12 runs of a copy that records this: the one that failed, and two that passed, had such a change. Change: rows of instances aren't applied while the requests are sent; the checks are as they were.

--- a/tests/wire/test_homes.py
+++ b/tests/wire/test_homes.py
@@ -1,6 +1,7 @@
 """Tests of requests that may run in some regions only."""
 
 import dataclasses
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
@@ -256,18 +257,20 @@
             await set_homes(deployment, of_routes, [], "bog-a", "bog-a")
             sender, peer = deployment.gateways
             relayed = count_relayed(peer)
-            # The sender takes its peer for one in another region.
+            # The sender takes its peer for one in another region; rows of
+            # the store would set it right again.
             member = sender.link.member_by_id[peer.settings.instance]
             elsewhere = dataclasses.replace(
                 member, data_centre=ids.DataCentreId("mad-a")
             )
-            sender.link.member_by_id[peer.settings.instance] = elsewhere
-            sender.link.peer_by_id[peer.settings.instance].member = elsewhere
-            await linked.cut({0}, cuts.Cut.RESET)
-            statuses = [
-                await cuts.status_of(linked, 0, "/read/a", f"a{number}")
-                for number in range(6)
-            ]
+            with mock.patch.object(sender.link, "set_members"):
+                sender.link.member_by_id[member.id] = elsewhere
+                sender.link.peer_by_id[member.id].member = elsewhere
+                await linked.cut({0}, cuts.Cut.RESET)
+                statuses = [
+                    await cuts.status_of(linked, 0, "/read/a", f"a{number}")
+                    for number in range(6)
+                ]
             assert bool(relayed) == may_relay
             assert (200 in statuses) == may_relay
 
