Simplify the reader of heads and the ends of requests without time

Cause: the reader of heads checked the size in two places and a line of the head in two; a request that the end of a stop overtakes was refused by three branches beside the one that its deadline had; attempts had its own copy of pools.CONNECT_ERRORS, though it uses pools now. Change: one size check, one match; the reason and both codes of a request without time left are one value; pools.CONNECT_ERRORS. Result: statuses and texts as before; the tests of heads, answers, stops and endless answers pass, and those of the gateway.

--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/attempts.py
@@ -41,10 +41,6 @@
     "User-Agent",
     "Content-Type",
 )
-CONNECT_ERRORS = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
 TRANSFER_ERRORS = (
     *pools.NETWORK_ERRORS,
     ValueError,
@@ -193,7 +189,7 @@
                     allow_redirects=False,
                     trace_request_ctx=outgoing,
                 )
-        except CONNECT_ERRORS as error:
+        except pools.CONNECT_ERRORS as error:
             raise AttemptFailed(
                 FailureKind.NOT_CONNECTED, repr(error)
             ) from error
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import typing
 
 import aiohttp
@@ -48,6 +49,27 @@
 MS_PER_S = 1000
 FIRST_ERROR_STATUS = 400
 
+
+@dataclasses.dataclass(frozen=True)
+class NoTimeLeft:
+    """Why a request gets no answer in time, and the codes of its refusal."""
+
+    reason: str
+    code_if_sent: outcomes.Code
+    code_if_not_run: outcomes.Code
+
+
+DEADLINE_PASSED = NoTimeLeft(
+    "the deadline has passed",
+    outcomes.Code.DEADLINE_EXCEEDED,
+    outcomes.Code.DEADLINE_UNREACHABLE,
+)
+STOPPED = NoTimeLeft(
+    "this instance has stopped",
+    outcomes.Code.TARGET_FAILED,
+    outcomes.Code.DRAINING,
+)
+
 OriginFinder = typing.Callable[
     [ids.AttemptId, model.ServiceId],
     typing.Awaitable[stream_origins.Origin | None],
@@ -147,46 +169,26 @@
                 self._deadlines.add(deadline)
                 return await self._serve(call)
         except TimeoutError:
-            reason = "the deadline has passed"
-            if self._is_ended:
-                reason = "this instance has stopped"
+            late = STOPPED if self._is_ended else DEADLINE_PASSED
             if call.has_started_answer:
-                return self._answers.abort(call, reason)
-            raise self._unfinished(call, reason) from None
+                return self._answers.abort(call, late.reason)
+            raise outcomes.RequestRefused(
+                outcomes.Refusal(
+                    late.code_if_sent
+                    if call.sent_attempts
+                    else late.code_if_not_run,
+                    late.reason,
+                    outcomes.Step.FIRST_BYTE,
+                    not_run=not call.sent_attempts,
+                    peer=call.last_target,
+                    retry_after_ms=None
+                    if call.sent_attempts
+                    else admission.MIN_RATE_RETRY_MS,
+                )
+            ) from None
         finally:
             self._deadlines.discard(deadline)
 
-    def _unfinished(
-        self, call: admission.Call, reason: str
-    ) -> outcomes.RequestRefused:
-        """Return the refusal of a request that has no answer in time."""
-        if not call.sent_attempts:
-            code = (
-                outcomes.Code.DRAINING
-                if self._is_ended
-                else outcomes.Code.DEADLINE_UNREACHABLE
-            )
-            return admission.refused(
-                code,
-                reason,
-                outcomes.Step.FIRST_BYTE,
-                peer=call.last_target,
-                retry_after_ms=admission.MIN_RATE_RETRY_MS,
-            )
-        if self._is_ended:
-            return target_choice.target_failed(
-                call, reason, outcomes.Step.FIRST_BYTE
-            )
-        return outcomes.RequestRefused(
-            outcomes.Refusal(
-                outcomes.Code.DEADLINE_EXCEEDED,
-                reason,
-                outcomes.Step.FIRST_BYTE,
-                not_run=False,
-                peer=call.last_target,
-            )
-        )
-
     async def _serve(self, call: admission.Call) -> web.StreamResponse:
         if call.route.is_resumable and call.head.last_event:
             await self._set_origin(call)
--- a/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
+++ b/packages/cardamom-platform/src/cardamom_platform/answer_heads.py
@@ -15,7 +15,8 @@
 FINAL_STATUSES = range(200, 600)
 # All heads of an answer together, the interim ones too.
 MAX_HEAD_BYTES = 1 << 16
-HEAD_END = b"\r\n\r\n"
+LINE_END = b"\r\n"
+HEAD_END = LINE_END + LINE_END
 # RFC 9112, sections 4 and 5; without line folding, which gateways may refuse.
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _START_LINE = rb"HTTP/[0-9]\.[0-9] ([0-9]{3})(?: " + _TEXT + rb")?\r\n"
@@ -49,41 +50,44 @@
 
         Raises MalformedHead.
         """
+        if self.is_complete:
+            return data
         pending = self._pending + data
-        passed = 0
-        while not self.is_complete:
-            end = pending.find(HEAD_END, passed)
-            if end < 0:
-                self._check_beginning(pending[passed:])
-                break
-            lines = _LINES.fullmatch(pending, passed, end + len(b"\r\n"))
-            if lines is None:
-                raise MalformedHead("a line of the head is malformed")
+        passed, is_final = 0, False
+        while not is_final and (end := pending.find(HEAD_END, passed)) >= 0:
+            status = _status(pending[passed : end + len(LINE_END)])
             passed = end + len(HEAD_END)
-            self._check_size(passed)
-            self.is_complete = not _is_interim(lines[1])
-        if self.is_complete:
+            is_final = not _is_interim(status)
+        if not is_final:
+            _check_beginning(pending[passed:])
+        head_bytes = passed if is_final else len(pending)
+        if self._passed_bytes + head_bytes > MAX_HEAD_BYTES:
+            raise MalformedHead(
+                f"the head has more than {MAX_HEAD_BYTES} bytes"
+            )
+        self.is_complete = is_final
+        if is_final:
             passed = len(pending)
         self._passed_bytes += passed
         self._pending = pending[passed:]
-        self._check_size(len(self._pending))
         return pending[:passed]
 
-    def _check_beginning(self, data: bytes) -> None:
-        """Check the complete lines of a head that isn't complete."""
-        lines = data[: data.rfind(b"\n") + 1]
-        if not data.startswith(_PROTOCOL[: len(data)]):
-            raise MalformedHead("the answer doesn't begin with a status line")
-        if lines and not _LINES.fullmatch(lines):
-            raise MalformedHead("a line of the head is malformed")
 
-    def _check_size(self, size_bytes: int) -> None:
-        if self.is_complete:
-            return
-        if self._passed_bytes + size_bytes > MAX_HEAD_BYTES:
-            raise MalformedHead(
-                f"the head has more than {MAX_HEAD_BYTES} bytes"
-            )
+def _check_beginning(data: bytes) -> None:
+    """Check the complete lines of a head that isn't complete."""
+    if not data.startswith(_PROTOCOL[: len(data)]):
+        raise MalformedHead("the answer doesn't begin with a status line")
+    lines = data[: data.rfind(b"\n") + 1]
+    if lines:
+        _status(lines)
+
+
+def _status(lines: bytes) -> bytes:
+    """Return the status in the first lines of a head."""
+    match = _LINES.fullmatch(lines)
+    if match is None:
+        raise MalformedHead("a line of the head is malformed")
+    return match[1]
 
 
 def _is_interim(status: bytes) -> bool:
@@ -104,6 +108,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes of an answer; end the connection if its head is bad."""
+        # Without data, a parser that has paused goes on.
         if self._parser is None or self._head.is_complete:
             self._parse(data)
             return
@@ -139,13 +144,13 @@
     async def start(self, connection: typing.Any) -> aiohttp.ClientResponse:
         """Read the head; raises MalformedHead, which ends the connection."""
         await super().start(connection)
-        problem = find_problem(self)
+        problem = _find_problem(self)
         if problem is not None:
             raise MalformedHead(problem)
         return self
 
 
-def find_problem(response: aiohttp.ClientResponse) -> str | None:
+def _find_problem(response: aiohttp.ClientResponse) -> str | None:
     """Return why the head of an answer can't be used, None if it can.
 
     The parsers of aiohttp take any three digits for a status, and any version
