Let one server, one call and one change of limits serve the tests

Change: raw_answers.RawServer and read_request(), scenarios.post() and lift_limits(); own calls and parsers have files of their own.

--- a/tests/wire/scenarios.py
+++ b/tests/wire/scenarios.py
@@ -45,10 +45,26 @@
     return {"Model": name, "Token_Usage": "100,20"}
 
 
-async def lift_rate(deployment: standins.Deployment) -> None:
-    """Put a configuration without a limit of the team in force."""
+async def post(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    path: str,
+    attempt: str,
+) -> tuple[int, bytes]:
+    """Return status and body of a call, of a model where the path has one."""
+    head = headers(attempt, **model_headers("m1"))
+    async with session.post(deployment.url(path), headers=head) as answer:
+        return answer.status, await answer.read()
+
+
+async def lift_limits(
+    deployment: standins.Deployment, **of_services: typing.Any
+) -> None:
+    """Let teams send as much as they like, and change all services."""
     configuration = standins.configuration(8)
     configuration["tenants"][0]["rate_per_s"] = 0
+    for service in configuration["services"]:
+        service |= of_services
     deployment.store.put("op", "config", configuration)
     await standins.wait_until(
         lambda: all(
--- a/tests/wire/test_brittle_targets.py
+++ b/tests/wire/test_brittle_targets.py
@@ -9,7 +9,6 @@
 
 from tests.wire import scenarios
 from tests.wire import standins
-from tests.wire import test_target_limits as limits
 
 CONTACT_S = 3.0
 DURATION_S = 10.0
@@ -93,7 +92,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await limits.remove_rate(deployment)
+            await scenarios.lift_limits(deployment)
             brittle = Brittle(deployment)
             for replica in deployment.replicas:
                 replica.behaviour = brittle.answer
--- a/tests/wire/test_endless_answers.py
+++ b/tests/wire/test_endless_answers.py
@@ -134,10 +134,8 @@
     for replica in deployment.replicas:
         replica.behaviour = endless
     started_s = time.monotonic()
-    head = scenarios.headers("a1", **scenarios.model_headers("m1"))
-    async with session.post(deployment.url(path), headers=head) as answer:
-        assert answer.status in (502, 504)
-        await answer.read()
+    status, _ = await scenarios.post(deployment, session, path, "a1")
+    assert status in (502, 504)
     assert time.monotonic() - started_s < DEADLINE_S + 1
 
 
@@ -203,18 +201,6 @@
     return await EndlessAnswer(head, chunk)(replica, request)
 
 
-async def _status(
-    deployment: standins.Deployment,
-    session: aiohttp.ClientSession,
-    path: str,
-    attempt: str,
-) -> int:
-    head = scenarios.headers(attempt, **scenarios.model_headers("m1"))
-    async with session.post(deployment.url(path), headers=head) as answer:
-        await answer.read()
-        return answer.status
-
-
 class TestManyEndlessAnswers:
     """As many answers without end at once as fill an instance's memory."""
 
@@ -236,7 +222,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await scenarios.lift_rate(deployment)
+            await scenarios.lift_limits(deployment)
             for replica in deployment.replicas:
                 replica.behaviour = functools.partial(
                     _answer_endlessly, beginning=beginning, chunk=chunk
@@ -245,19 +231,19 @@
             idle_bytes, _ = tracemalloc.get_traced_memory()
             endless = [
                 asyncio.create_task(
-                    _status(deployment, session, path, f"e{number}")
+                    scenarios.post(deployment, session, path, f"e{number}")
                 )
                 for number in range(ENDLESS_CALLS)
             ]
             beside = [
-                await _status(deployment, session, path, f"s{number}")
+                await scenarios.post(deployment, session, path, f"s{number}")
                 for number in range(CALLS_BESIDE)
             ]
-            statuses = await asyncio.gather(*endless)
+            failed = await asyncio.gather(*endless)
             _, peak_bytes = tracemalloc.get_traced_memory()
             tracemalloc.stop()
-            assert beside == [200] * CALLS_BESIDE
-            assert set(statuses) <= {502, 504}
+            assert [status for status, _ in beside] == [200] * CALLS_BESIDE
+            assert {status for status, _ in failed} <= {502, 504}
             assert peak_bytes - idle_bytes < MAX_MORE_BYTES
 
         scenarios.run_scenario(scenario, plain=4, engines=4)
--- a/tests/wire/test_evacuations.py
+++ b/tests/wire/test_evacuations.py
@@ -84,20 +84,6 @@
     )
 
 
-async def lift_limits(
-    deployment: standins.Deployment, **of_services: typing.Any
-) -> None:
-    """Let teams send as much as they like, and change all services."""
-    configuration = standins.configuration(8)
-    configuration["tenants"][0]["rate_per_s"] = 0
-    for service in configuration["services"]:
-        service |= of_services
-    deployment.store.put("op", "config", configuration)
-    await standins.wait_until(
-        lambda: all(g._versions()["cv"] == 8 for g in deployment.gateways)
-    )
-
-
 async def send(
     deployment: standins.Deployment,
     session: aiohttp.ClientSession,
@@ -153,7 +139,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             number = 3 if path == "/chat/a" else 1
             evacuated = await place(deployment, number, "bog-b")
             for replica in deployment.replicas:
@@ -256,7 +242,9 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             gateway = deployment.gateways[0]
-            await lift_limits(deployment, cold_start_s=3.0, cold_per_s=9.2)
+            await scenarios.lift_limits(
+                deployment, cold_start_s=3.0, cold_per_s=9.2
+            )
             evacuated = await place(deployment, 1, "bog-b")
             await evacuate(deployment, "bog-b")
             await wait_for(deployment.gateways, "bog-b")
@@ -371,7 +359,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             inside, outside = deployment.replicas[1], deployment.replicas[0]
             for replica in deployment.replicas:
                 replica.behaviour = serve
@@ -423,7 +411,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             for replica in deployment.replicas:
                 replica.behaviour = serve
             evacuated = await place(deployment, 1, "bog-b")
--- a/tests/wire/test_full_targets.py
+++ b/tests/wire/test_full_targets.py
@@ -99,7 +99,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             slotted = slot(deployment)
             first = await call_all(
                 deployment, session, ["/read/a"] * CALLS, "first"
@@ -121,7 +121,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             slot(deployment)
             for burst in range(3):
                 statuses = await call_all(
@@ -160,7 +160,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             slotted = slot(deployment)
             for replica in slotted:
                 replica.running = SLOTS
--- a/tests/wire/test_late_copies.py
+++ b/tests/wire/test_late_copies.py
@@ -9,6 +9,7 @@
 
 from cardamom_gateway import interfaces
 from cardamom_wire import plugin
+from tests.wire import raw_answers
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -16,7 +17,7 @@
 COPY_DELAY_S = 0.02
 
 
-class CopyingServer:
+class CopyingServer(raw_answers.RawServer):
     """Sends each answer once more, on the same connection.
 
     With ``is_with_next`` the copy comes just before the next answer, else a
@@ -24,29 +25,16 @@
     """
 
     def __init__(self, is_with_next: bool) -> None:
+        super().__init__()
         self._is_with_next = is_with_next
-        self._server: asyncio.Server | None = None
-        self.port = 0
-
-    async def __aenter__(self) -> "CopyingServer":
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, standins.HOST, 0
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        """Stop to listen."""
-        assert self._server is not None
-        self._server.close()
-
-    async def _serve(
+
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer the requests of a connection."""
         copy, loop = b"", asyncio.get_running_loop()
-        while head := await _read_head(reader):
-            answer = _answer(head)
+        while request := await raw_answers.read_request(reader):
+            answer = _answer(request)
             writer.write(copy + answer)
             if self._is_with_next:
                 copy = answer
@@ -54,40 +42,17 @@
                 loop.call_later(COPY_DELAY_S, writer.write, answer)
 
 
-def _answer(head: bytes) -> bytes:
+def _answer(request: raw_answers.RawRequest) -> bytes:
     """Return a request's id, a report, or a refusal of an order."""
-    path = head.split()[1]
-    header = {
-        name.lower(): value.strip()
-        for name, _, value in (
-            line.partition(b":") for line in head.split(b"\r\n")[1:]
-        )
-    }
-    attempt = header.get(b"attempt-id", b"")
-    status, body = b"200 OK", attempt
-    if path == b"/api/report":
+    start_line, body = raw_answers.OK, request.attempt.encode()
+    if request.path == "/api/report":
         body = orjson.dumps({"models": [], "busy": False, "sequence": 0})
-    if path == b"/api/order":
-        status, body = b"409 Conflict", b"{}"
-    lines = [
-        b"HTTP/1.1 " + status,
-        b"Content-Length: %d" % len(body),
-        b"Attempt-Id: " + attempt,
-        b"Response-Signature: " + standins.SIGNATURE.encode(),
-    ]
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
-
-
-async def _read_head(reader: asyncio.StreamReader) -> bytes:
-    """Return the head of a request and skip its body; empty at the end."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return b""
-    for line in head.lower().split(b"\r\n"):
-        if line.startswith(b"content-length:"):
-            await reader.readexactly(int(line.partition(b":")[2]))
-    return head
+    if request.path == "/api/order":
+        start_line, body = "HTTP/1.1 409 Conflict", b"{}"
+    head = raw_answers.signed_head(
+        request.attempt, start_line, f"Content-Length: {len(body)}"
+    )
+    return head + b"\r\n" + body
 
 
 async def _check_answers(
@@ -124,13 +89,7 @@
             async with CopyingServer(is_with_next) as server:
                 (replica,) = deployment.replicas
                 replica.port = server.port
-                deployment.register(replica)
-                targets = deployment.gateways[0].state.targets.by_id
-                await standins.wait_until(
-                    lambda: (
-                        targets[replica.name].target.address == replica.address
-                    )
-                )
+                await deployment.register_and_wait(replica)
                 await _check_answers(deployment, session, pause_s)
 
         scenarios.run_scenario(scenario, plain=1, engines=0)
@@ -147,7 +106,7 @@
                     deployment.gateways[0]
                     .state.targets.by_id[engine.name]
                     .target,
-                    address=f"{standins.HOST}:{server.port}",
+                    address=server.address,
                 )
                 engines = plugin.ConsorcioPlatform().open_engines()
                 await engines.report(target)
--- a/tests/wire/test_malformed_answers.py
+++ b/tests/wire/test_malformed_answers.py
@@ -1,48 +1,15 @@
-"""Tests of answers whose heads aren't heads of HTTP/1 answers."""
+"""Tests of answers to callers' requests that aren't HTTP/1 answers."""
 
-import asyncio
-import types
 import typing
 
 import aiohttp
-from aiohttp import client_proto
-from aiohttp import http_parser
-from opentelemetry import trace
 import pytest
 
-from cardamom_ctl import client as ctl_client
-from cardamom_daemon import plain_calls
-from cardamom_gateway import interfaces
-from cardamom_kernel import tables
-from cardamom_platform import answer_bodies
-from cardamom_platform import interfaces as platform_interfaces
-from cardamom_platform import plugins
-from cardamom_platform import pools
-from cardamom_wire import plugin
-from tests.daemon import test_plain_calls
 from tests.wire import cuts
 from tests.wire import raw_answers
 from tests.wire import scenarios
 from tests.wire import standins
 
-Result = typing.TypeVar("Result")
-LENGTH = f"Content-Length: {len(raw_answers.TEXT)}"
-START_LINES = (
-    "HTTP/1.1 000 Trouble",
-    "HTTP/1.1 001 Trouble",
-    "HTTP/1.1 099 Trouble",
-    "HTTP/1.1 101 Switching Protocols",
-    "HTTP/1.1 600 Trouble",
-    "HTTP/1.1 999 Trouble",
-    "HTTP/2.0 200 OK",
-    "HTTP/1.1 0 Trouble",
-    "HTTP/1.1 20 OK",
-    "HTTP/1.1 2000 OK",
-    "HTTP/1.1 OK",
-    "HTTP/1.1",
-    "ICY 200 OK",
-)
-
 
 async def _assert_failed_once(
     deployment: standins.Deployment, session: aiohttp.ClientSession, path: str
@@ -76,18 +43,20 @@
     """Answers whose first line has no status of a final answer."""
 
     @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
-    @pytest.mark.parametrize("start_line", START_LINES)
+    @pytest.mark.parametrize("start_line", raw_answers.START_LINES)
     def test_answer_without_a_status_is_not_relayed(
         self, start_line: str, path: str
     ) -> None:
         """Callers got it with the target's signature."""
-        behaviour = raw_answers.RawAnswer(start_line, [LENGTH])
+        behaviour = raw_answers.RawAnswer(start_line, [raw_answers.LENGTH])
         _assert_is_not_relayed(behaviour, path)
 
     def test_status_after_an_interim_answer_is_checked(self) -> None:
         """The check could stop at the first head of an answer."""
         behaviour = raw_answers.RawAnswer(
-            START_LINES[0], [LENGTH], prefix=b"HTTP/1.1 100 Continue\r\n\r\n"
+            raw_answers.START_LINES[0],
+            [raw_answers.LENGTH],
+            prefix=b"HTTP/1.1 100 Continue\r\n\r\n",
         )
         _assert_is_not_relayed(behaviour)
 
@@ -100,7 +69,9 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            bad = raw_answers.RawAnswer(START_LINES[0], [LENGTH])
+            bad = raw_answers.RawAnswer(
+                raw_answers.START_LINES[0], [raw_answers.LENGTH]
+            )
             for replica in deployment.replicas[::2]:
                 replica.behaviour = bad
             for number in range(8):
@@ -115,7 +86,7 @@
 
         scenarios.run_scenario(scenario, plain=2, engines=2)
 
-    @pytest.mark.parametrize("start_line", START_LINES)
+    @pytest.mark.parametrize("start_line", raw_answers.START_LINES)
     def test_answer_is_not_passed_on_by_a_relaying_peer(
         self, start_line: str
     ) -> None:
@@ -123,7 +94,9 @@
 
         async def scenario(linked: cuts.LinkedDeployment) -> None:
             (replica,) = linked.deployment.replicas
-            replica.behaviour = raw_answers.RawAnswer(start_line, [LENGTH])
+            replica.behaviour = raw_answers.RawAnswer(
+                start_line, [raw_answers.LENGTH]
+            )
             await linked.cut({0}, cuts.Cut.RESET)
             status = await cuts.status_of(linked, 0, "/write/a", "a1")
             assert len(replica.requests) == 1
@@ -134,138 +107,11 @@
     def test_broken_answer_is_not_a_promise_that_nothing_ran(self) -> None:
         """Its head could say that the request wasn't executed."""
         behaviour = raw_answers.RawAnswer(
-            START_LINES[0], [LENGTH, "Not-Executed: 1"]
+            raw_answers.START_LINES[0], [raw_answers.LENGTH, "Not-Executed: 1"]
         )
         _assert_is_not_relayed(behaviour)
 
 
-def _answered(
-    start_line: str,
-    call: typing.Callable[[raw_answers.RawServer], typing.Awaitable[Result]],
-    body: bytes = b"{}",
-) -> Result:
-    """Return what a call makes of an answer of a server."""
-
-    async def run() -> Result:
-        lines = (f"Content-Length: {len(body)}",)
-        head = raw_answers.signed_head("a1", start_line, *lines)
-        async with raw_answers.RawServer(head + b"\r\n" + body) as server:
-            return await call(server)
-
-    return asyncio.run(run())
-
-
-NO_SUCCESS = (
-    "HTTP/1.1 300 Multiple Choices",
-    "HTTP/1.1 302 Found",
-    "HTTP/1.1 304 Not Modified",
-)
-
-
-@pytest.mark.parametrize("start_line", (*START_LINES, *NO_SUCCESS))
-class TestStores:
-    """Answers without success to reads and writes of an instance's own."""
-
-    def test_object_is_not_written(self, start_line: str) -> None:
-        """A write that the store had not taken counted as done."""
-
-        async def call(server: raw_answers.RawServer) -> None:
-            pool = pools.Pool()
-            objects = plugins.HttpObjectStore(pool, server.url)
-            try:
-                await objects.put("key", b"value")
-            finally:
-                await pool.close()
-
-        with pytest.raises(platform_interfaces.ObjectsUnavailable):
-            _answered(start_line, call)
-
-    def test_object_is_not_read(self, start_line: str) -> None:
-        """The bytes of a broken answer were taken for the object."""
-
-        async def call(server: raw_answers.RawServer) -> bytes | None:
-            pool = pools.Pool()
-            objects = plugins.HttpObjectStore(pool, server.url)
-            try:
-                return await objects.get("key")
-            finally:
-                await pool.close()
-
-        with pytest.raises(platform_interfaces.ObjectsUnavailable):
-            _answered(start_line, call)
-
-    def test_commit_is_unknown(self, start_line: str) -> None:
-        """A commit that the table had not taken counted as committed."""
-
-        async def call(server: raw_answers.RawServer) -> tables.CommitResult:
-            pool = pools.Pool()
-            table = plugins.HttpTable(pool, server.url)
-            try:
-                return await table.commit({}, {"key": {}})
-            finally:
-                await pool.close()
-
-        result = _answered(start_line, call, b'{"committed":true,"rows":{}}')
-        assert result.state is tables.CommitState.UNKNOWN
-
-    def test_row_of_the_store_is_not_read(self, start_line: str) -> None:
-        """An instance could take rows from a broken answer."""
-
-        async def call(server: raw_answers.RawServer) -> None:
-            store = plugin.ConsorcioPlatform().open_store(server.address)
-            try:
-                await store.read_all(interfaces.Topic.TARGETS)
-            finally:
-                await store.close()
-
-        body = b'{"rows":[],"ver":1,"now_ms":1}'
-        with pytest.raises(interfaces.StoreUnavailable):
-            _answered(start_line, call, body)
-
-
-@pytest.mark.parametrize("start_line", START_LINES)
-class TestOwnCalls:
-    """Broken answers to other calls of an instance or an operator."""
-
-    def test_plain_call_of_the_daemon_fails(self, start_line: str) -> None:
-        """Callers of the daemon got the broken answer as the service's."""
-
-        async def call(
-            server: raw_answers.RawServer,
-        ) -> plain_calls.PlainAnswer:
-            pool = pools.Pool()
-            target = types.SimpleNamespace(
-                id="app-1", spec=types.SimpleNamespace(url=server.url)
-            )
-            fleet = types.SimpleNamespace(tracer=trace.get_tracer("test"))
-            try:
-                return await plain_calls.send(
-                    pool.session,
-                    test_plain_calls.CALL,
-                    typing.cast(typing.Any, target),
-                    5.0,
-                    typing.cast(typing.Any, fleet),
-                )
-            finally:
-                await pool.close()
-
-        with pytest.raises(pools.NETWORK_ERRORS):
-            _answered(start_line, call)
-
-    def test_operator_is_told_that_no_instance_answered(
-        self, start_line: str
-    ) -> None:
-        """The command line took status 0 for none, and others for answers."""
-
-        async def call(server: raw_answers.RawServer) -> ctl_client.Answer:
-            client = ctl_client.OperatorClient([server.url], "key")
-            return await asyncio.to_thread(client.call, "GET", "/v1/config")
-
-        answer = _answered(start_line, call)
-        assert answer.status == 0
-        assert answer.body["error"]["code"] == "unreached"
-
-
 CONTROL_BYTES = tuple(
     bytes([value]) for value in (0, 1, 8, 10, 11, 12, 13, 27, 31, 127)
 )
@@ -295,8 +141,6 @@
     *(byte + b"Content-Length" for byte in CONTROL_BYTES),
     *(b"Content-Length" + byte for byte in CONTROL_BYTES),
 )
-SHORT = b"id\n\n"  # a whole event of four bytes
-CHUNKS = b"4\r\n" + SHORT + b"\r\n0\r\n\r\n"
 
 
 def _odd_fields() -> typing.Iterator[raw_answers.RawAnswer]:
@@ -306,17 +150,21 @@
         *(b"Odd: a" + byte + b"b" for byte in CONTROL_BYTES),
         b"Odd",
     ):
-        yield raw_answers.RawAnswer(lines=[LENGTH, field])
-        yield raw_answers.RawAnswer(lines=[field, LENGTH])
+        yield raw_answers.RawAnswer(lines=[raw_answers.LENGTH, field])
+        yield raw_answers.RawAnswer(lines=[field, raw_answers.LENGTH])
         first = raw_answers.OK.encode() + b"\r\n" + field
-        yield raw_answers.RawAnswer(first, [LENGTH])
+        yield raw_answers.RawAnswer(first, [raw_answers.LENGTH])
 
 
 def _odd_lengths() -> typing.Iterator[raw_answers.RawAnswer]:
     """Yield answers whose odd field could end the body early."""
     for name in LENGTH_NAMES:
         is_chunked = name.startswith(b"Transfer")
-        value, body = (b"chunked", CHUNKS) if is_chunked else (b"4", SHORT)
+        value, body = (
+            (b"chunked", raw_answers.CHUNKS)
+            if is_chunked
+            else (b"4", raw_answers.SHORT)
+        )
         field = name + b": " + value
         first = raw_answers.OK.encode() + b"\r\n" + field
         for rest in (b"", raw_answers.TEXT):
@@ -341,13 +189,13 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await scenarios.lift_rate(deployment)
+            await scenarios.lift_limits(deployment)
             relayed = []
             for number, answer in enumerate(answers()):
                 answer.pause_s = pause_s
                 for replica in deployment.replicas:
                     replica.behaviour = answer
-                status, body = await _post(
+                status, body = await scenarios.post(
                     deployment, session, path, f"a{number}"
                 )
                 if status != 502 or b"text of" in body:
@@ -357,9 +205,6 @@
         scenarios.run_scenario(scenario, plain=2, engines=2)
 
 
-PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
-
-
 class TestBrokenBodies:
     """Bodies that the library can't parse."""
 
@@ -379,45 +224,13 @@
         )
         _assert_is_not_relayed(behaviour, path)
 
-    @pytest.mark.parametrize("parser", PARSERS)
-    @pytest.mark.parametrize("pause_s", [0.0, 0.02])
-    @pytest.mark.parametrize(
-        "body",
-        [b"no chunk\r\n", b"+4\r\n", b"4\r\ntoo long\r\n", b"4;\x00\r\n"],
-    )
-    def test_both_parsers_of_the_library_fail_in_one_way(
-        self,
-        body: bytes,
-        pause_s: float,
-        parser: type,
-        monkeypatch: pytest.MonkeyPatch,
-    ) -> None:
-        """An error of another kind got a 500, or quoted the bytes."""
-        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
-        lines = ["Transfer-Encoding: chunked"]
-        with pytest.raises(pools.NETWORK_ERRORS) as raised:
-            asyncio.run(_read_answer(lines, body, pause_s))
-        description = pools.describe(raised.value)
-        assert body.strip().decode() not in description
-
-
-CODINGS = (
-    "xchunked",
-    "gzip",
-    "identity",
-    "chunked, gzip",
-    "gzip, chunked",
-    "chunked, chunked",
-    "",
-)
-
 
 class TestFraming:
     """Answers that don't state in one way where their body ends."""
 
     @pytest.mark.parametrize("is_reset", [False, True])
     @pytest.mark.parametrize("path", ["/write/a", "/once/a"])
-    @pytest.mark.parametrize("coding", CODINGS)
+    @pytest.mark.parametrize("coding", raw_answers.CODINGS)
     def test_answer_in_another_coding_is_not_relayed(
         self, coding: str, path: str, is_reset: bool
     ) -> None:
@@ -427,82 +240,3 @@
             is_reset=is_reset,
         )
         _assert_is_not_relayed(behaviour, path)
-
-    @pytest.mark.parametrize("parser", PARSERS)
-    @pytest.mark.parametrize(
-        "lines",
-        [
-            *([f"Transfer-Encoding: {coding}"] for coding in CODINGS),
-            ["Transfer-Encoding: chunked", "Transfer-Encoding: chunked"],
-            ["Transfer-Encoding: chunked", LENGTH],
-            [LENGTH, "Transfer-Encoding: chunked"],
-            [LENGTH, "Content-Length: 4"],
-            ["Content-Length: 4", LENGTH],
-            [LENGTH, LENGTH],
-            ["Content-Length: 4, 18"],
-            ["Content-Length: +18"],
-            ["Content-Length: -18"],
-            ["Content-Length: 0x12"],
-            ["Content-Length: \u0661"],
-            ["Content-Length: "],
-        ],
-    )
-    def test_both_parsers_of_the_library_refuse_it(
-        self,
-        lines: list[str],
-        parser: type,
-        monkeypatch: pytest.MonkeyPatch,
-    ) -> None:
-        """Its parser in Python runs where no compiled one is installed."""
-        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
-        with pytest.raises(pools.NETWORK_ERRORS):
-            asyncio.run(_read_answer(lines, CHUNKS))
-
-    @pytest.mark.parametrize("parser", PARSERS)
-    @pytest.mark.parametrize(
-        ("lines", "body"),
-        [
-            (["transfer-encoding: Chunked"], CHUNKS),
-            (["Content-Length: 4"], SHORT),
-            ([], SHORT),
-        ],
-    )
-    def test_both_parsers_read_a_sound_answer(
-        self,
-        lines: list[str],
-        body: bytes,
-        parser: type,
-        monkeypatch: pytest.MonkeyPatch,
-    ) -> None:
-        """A check could refuse answers that are well-formed."""
-        monkeypatch.setattr(client_proto, "HttpResponseParser", parser)
-        assert asyncio.run(_read_answer(lines, body)) == SHORT
-
-
-async def _read_answer(
-    lines: list[str], body: bytes, pause_s: float = 0.0
-) -> bytes:
-    """Return the body of an answer, as an instance's own calls read it."""
-    head = raw_answers.signed_head("a1", raw_answers.OK, *lines) + b"\r\n"
-    async with raw_answers.RawServer(head, body, pause_s) as server:
-        pool = pools.Pool()
-        try:
-            async with pool.session.get(server.url) as answer:
-                return await answer_bodies.read(answer)
-        finally:
-            await pool.close()
-
-
-async def _post(
-    deployment: standins.Deployment,
-    session: aiohttp.ClientSession,
-    path: str,
-    attempt: str,
-) -> tuple[int, bytes]:
-    """Return status and body, both empty for a broken answer."""
-    head = scenarios.headers(attempt, **scenarios.model_headers("m1"))
-    try:
-        async with session.post(deployment.url(path), headers=head) as answer:
-            return answer.status, await answer.read()
-    except aiohttp.ClientError:
-        return 0, b""
--- a/tests/wire/test_repeated_refusals.py
+++ b/tests/wire/test_repeated_refusals.py
@@ -12,11 +12,11 @@
 
 COPY_DELAY_S = 0.01
 RUN_S = 0.2
-NO_ID = "-"  # of a request for a report
+REPORT_PATH = "/api/report"
 EVENT = standins.event(0)
 
 
-class RefusingServer:
+class RefusingServer(raw_answers.RawServer):
     """Refuses the first request of each connection, and runs the others.
 
     Before the answer to the second one it writes the refusal once more,
@@ -26,48 +26,27 @@
     """
 
     def __init__(self, names_request: bool) -> None:
+        super().__init__()
         self.runs: list[str] = []
-        self.port = 0
         self._names_request = names_request
-        self._server: asyncio.Server | None = None
 
-    @property
-    def address(self) -> str:
-        """Return HOST:PORT."""
-        return f"{standins.HOST}:{self.port}"
-
-    async def __aenter__(self) -> "RefusingServer":
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(
-            self._serve, standins.HOST, 0
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        """Stop to listen."""
-        assert self._server is not None
-        self._server.close()
-
-    async def _serve(
+    async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        """Answer the requests of a connection."""
         refusal = b""
-        try:
-            while attempt := await _read_attempt(reader):
-                if not refusal:
-                    refusal = _refusal(attempt if self._names_request else "")
-                    writer.write(refusal)
-                    continue
-                if attempt != NO_ID:
-                    self.runs.append(attempt)
-                await asyncio.sleep(COPY_DELAY_S)
+        while request := await raw_answers.read_request(reader):
+            attempt = request.attempt
+            if not refusal:
+                refusal = _refusal(attempt if self._names_request else "")
                 writer.write(refusal)
-                await asyncio.sleep(RUN_S)
-                writer.write(_answer(attempt))
-        except OSError:
-            pass
-        writer.close()
+                continue
+            if request.path != REPORT_PATH:
+                self.runs.append(attempt)
+            await asyncio.sleep(COPY_DELAY_S)
+            writer.write(refusal)
+            await asyncio.sleep(RUN_S)
+            writer.write(_answer(attempt))
 
 
 def _refusal(attempt: str) -> bytes:
@@ -88,34 +67,19 @@
     return head + b"\r\n" + EVENT
 
 
-async def _read_attempt(reader: asyncio.StreamReader) -> str:
-    """Return the id of the next request, empty at the end."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return ""
-    header = {
-        name.lower(): value.strip()
-        for name, _, value in (
-            line.partition(":") for line in head.decode().split("\r\n")[1:]
-        )
-    }
-    await reader.readexactly(int(header.get("content-length", "0")))
-    return header.get("attempt-id", NO_ID)
-
-
 async def _replace_targets(
     deployment: standins.Deployment, server: RefusingServer
 ) -> None:
-    """Put the server in the place of all targets."""
+    """Put the server in the place of all targets, at all gateways."""
     for replica in deployment.replicas:
         replica.port = server.port
         deployment.register(replica)
     await standins.wait_until(
         lambda: all(
-            record.target.address == server.address
+            gateway.state.targets.by_id[replica.name].target.entry_sequence
+            == replica.entry_sequence
             for gateway in deployment.gateways
-            for record in gateway.state.targets.by_id.values()
+            for replica in deployment.replicas
         )
     )
 
@@ -129,10 +93,9 @@
     """Check that no request has run that was refused as not run."""
     status_by_attempt = {}
     for attempt in ("a0", "a1", "a2"):
-        head = scenarios.headers(attempt, **scenarios.model_headers("m1"))
-        async with session.post(deployment.url(path), headers=head) as answer:
-            await answer.read()
-            status_by_attempt[attempt] = answer.status
+        status_by_attempt[attempt], _ = await scenarios.post(
+            deployment, session, path, attempt
+        )
     refused = {a for a, s in status_by_attempt.items() if s in (429, 503)}
     assert not refused & set(server.runs)
     assert len(server.runs) == len(set(server.runs))
@@ -151,7 +114,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await scenarios.lift_rate(deployment)
+            await scenarios.lift_limits(deployment)
             async with RefusingServer(names_request) as server:
                 await _replace_targets(deployment, server)
                 await _assert_refusals_are_true(
@@ -172,21 +135,7 @@
                 await dead.start()
                 linked.codecs[0].link_by_address[server.address] = dead
                 await dead.cut(cuts.Cut.RESET)
-                for replica in deployment.replicas:
-                    replica.port = server.port
-                    deployment.register(replica)
-                address_by_gateway = (dead.address, server.address)
-                await standins.wait_until(
-                    lambda: all(
-                        record.target.address == address
-                        for gateway, address in zip(
-                            deployment.gateways,
-                            address_by_gateway,
-                            strict=True,
-                        )
-                        for record in gateway.state.targets.by_id.values()
-                    )
-                )
+                await _replace_targets(deployment, server)
                 await _assert_refusals_are_true(
                     deployment, linked.session, server, path
                 )
--- a/tests/wire/test_slow_targets.py
+++ b/tests/wire/test_slow_targets.py
@@ -44,7 +44,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             of_service = [
                 r
                 for r in deployment.replicas
--- a/tests/wire/test_stated_leaving.py
+++ b/tests/wire/test_stated_leaving.py
@@ -63,16 +63,6 @@
     return await standins.answer_at_once(replica, request)
 
 
-async def lift_limits(deployment: standins.Deployment) -> None:
-    """Let teams send as much as they like."""
-    configuration = standins.configuration(8)
-    configuration["tenants"][0]["rate_per_s"] = 0
-    deployment.store.put("op", "config", configuration)
-    await standins.wait_until(
-        lambda: all(g._versions()["cv"] == 8 for g in deployment.gateways)
-    )
-
-
 async def send_for(
     deployment: standins.Deployment,
     session: aiohttp.ClientSession,
@@ -116,7 +106,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             for replica in deployment.replicas:
                 replica.behaviour = stream_once
             if is_store_down:
--- a/tests/wire/test_stated_pauses.py
+++ b/tests/wire/test_stated_pauses.py
@@ -71,7 +71,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             for replica in deployment.replicas:
                 replica.behaviour = test_stated_leaving.stream_once
             of_service = [
@@ -121,7 +121,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await test_stated_leaving.lift_limits(deployment)
+            await scenarios.lift_limits(deployment)
             (pausing,) = pause(deployment.replicas[:1], "0.6")
             await test_stated_leaving.send_for(
                 deployment, session, "/read/a", LOAD_S, "a"
--- a/tests/wire/test_target_limits.py
+++ b/tests/wire/test_target_limits.py
@@ -110,20 +110,6 @@
     return float(limit) * SPAN_S * OVERAGE_RATIO + SLACK_REQUESTS
 
 
-async def remove_rate(deployment: standins.Deployment) -> None:
-    """Put a configuration in force that has no rate for the team."""
-    configuration = standins.configuration(8)
-    configuration["tenants"][0]["rate_per_s"] = 0
-    deployment.store.put("op", "config", configuration)
-    await standins.wait_until(
-        lambda: all(
-            gateway.state.configuration is not None
-            and gateway.state.configuration.version == 8
-            for gateway in deployment.gateways
-        )
-    )
-
-
 class TestStatedLimit:
     """Requests of several instances to targets with a limit."""
 
@@ -138,7 +124,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await remove_rate(deployment)
+            await scenarios.lift_limits(deployment)
             targets = [f"p{number}" for number in range(limited)]
             crowd = Crowd(deployment, dict.fromkeys(targets, limit))
             started_s = asyncio.get_running_loop().time()
@@ -171,7 +157,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await remove_rate(deployment)
+            await scenarios.lift_limits(deployment)
             targets = [replica.name for replica in deployment.replicas]
             crowd = Crowd(deployment, dict.fromkeys(targets, "1.5"))
             started_s = asyncio.get_running_loop().time()
@@ -197,7 +183,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await remove_rate(deployment)
+            await scenarios.lift_limits(deployment)
             targets = [replica.name for replica in deployment.replicas]
             crowd = Crowd(deployment, dict.fromkeys(targets, "1"))
             await crowd.run(session, duration_s=4.0)
@@ -216,7 +202,7 @@
         async def scenario(
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
-            await remove_rate(deployment)
+            await scenarios.lift_limits(deployment)
             targets = [replica.name for replica in deployment.replicas]
             crowd = Crowd(deployment, dict.fromkeys(targets, value))
             await crowd.run(session, duration_s=0.5)
