Test the pause of a reader, and that no head is quoted

Cause: "Quote no head of a broken answer either" had no test, and no test showed that a parser goes on with what it holds once its reader has paused; without that, the check of heads lost the rest of a large chunk. Change: a case for each, with both parsers. Result: the first fails without the branch of pools.describe(), the second with aiohttp's parser in C if the protocol waits for data; both pass now.

--- a/tests/wire/test_answer_parsers.py
+++ b/tests/wire/test_answer_parsers.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import typing
 
+import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_parser
 import pytest
@@ -13,6 +15,7 @@
 from cardamom_platform import pools
 from tests.wire import raw_answers
 
+LARGE_BYTES = 2_000_000  # more than sockets and readers buffer
 PARSERS = (http_parser.HttpResponseParser, http_parser.HttpResponseParserPy)
 
 
@@ -89,11 +92,41 @@
         """A check could refuse answers that are well-formed."""
         assert asyncio.run(_read_answer(lines, body)) == raw_answers.SHORT
 
+    def test_reader_that_pauses_gets_the_whole_body(self) -> None:
+        """The parser has to go on with what it holds, without new bytes."""
+        body = b"x" * LARGE_BYTES
+        chunk = f"{LARGE_BYTES:x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+
+        async def read_slowly(answer: aiohttp.ClientResponse) -> bytes:
+            await asyncio.sleep(0.2)
+            parts = []
+            async for data in answer.content.iter_any():
+                parts.append(data)
+                await asyncio.sleep(0.001)
+            return b"".join(parts)
+
+        lines = ["Transfer-Encoding: chunked"]
+        assert asyncio.run(_read_answer(lines, chunk, 0.02, read_slowly)) == (
+            body
+        )
+
+
+class TestDescriptions:
+    """What callers are told of an answer that can't be used."""
+
+    def test_head_of_an_answer_without_end_is_not_quoted(self) -> None:
+        """It may be of the answer to another caller."""
+        error = aiohttp.ServerDisconnectedError("head of the target")
+        assert "head of" not in pools.describe(error)
+
 
 async def _read_answer(
     lines: list[str],
     body: bytes,
     pause_s: float = 0.0,
+    read: typing.Callable[
+        [aiohttp.ClientResponse], typing.Awaitable[bytes]
+    ] = answer_bodies.read,
 ) -> bytes:
     """Return the body of an answer, as an instance's own calls read it."""
     head = raw_answers.signed_head("a1", raw_answers.OK, *lines) + b"\r\n"
@@ -101,6 +134,6 @@
         pool = pools.Pool()
         try:
             async with pool.session.get(server.url) as answer:
-                return await answer_bodies.read(answer)
+                return await read(answer)
         finally:
             await pool.close()
