Ignore entries that the store writes after their target's removal

Cause: the registry compared an entry's sequence only with that of a target it still had. What it kept of removed targets was asked only in a full read from an older copy of the store, and targets that lapsed in an outage weren't kept. Change: RemovedTargets keeps the last position (start, sequence) of every target removed within 60 s, and put() takes no entry from before it. An entry of an earlier start is ignored for 10 s. Instances that ignore an entry report the target; those that have just started are told what was removed. Why it works: a target that lives on writes a later sequence and one that starts again has a later start, so only entries from before the removal are left out; tests show that both are back at once.

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/exchange.py
@@ -53,9 +53,10 @@
 CHANGE_WINDOW_MS = 2_300  # so that each change is reported at least twice
 MIN_START_GAP_MS = 4_000  # processes restarted together start within it
 RATE_REPORT_DELAY_MS = 5  # combines the reports of simultaneous requests
-ENDED_COUNTS_PERIOD_MS = 400
-# Number of instances that pass ended counts on; one may not have all of them.
-ENDED_COUNTS_SENDERS = 3
+STARTED_PEERS_PERIOD_MS = 400
+# Instances that inform one that has started; one may not know everything.
+STARTED_PEER_SENDERS = 3
+MAX_REMOVED_PER_MESSAGE = 500
 
 
 class Exchange:
@@ -312,29 +313,37 @@
             self.link.some_members(), self._base_update() | {"q": changed}
         )
 
-    async def send_ended_counts(self) -> None:
-        """Tell instances that have just started what ended ones counted."""
-        ended = self._state.rates.ended_counts(self._clock.now_ms())
-        if not ended:
-            return
-        young = [
+    async def inform_started_peers(self) -> None:
+        """Tell instances that have just started what they can't read.
+
+        These are the counts of ended instances, and which targets were
+        removed, as an entry may be back in the store after that.
+        """
+        started = [
             peer.member
             for peer in self.link.fresh_peers()
             if peer.update["up"] < self._state.settings.rate_window_ms
-            and self._sends_ended_counts_to(peer.member)
+            and self._informs(peer.member)
         ]
-        if young:
+        if not started:
+            return
+        ended = self._state.rates.ended_counts(self._clock.now_ms())
+        if ended:
             self.link.send(
-                young, self._base_update() | {"e": _encode_ended(ended)}
+                started, self._base_update() | {"e": _encode_ended(ended)}
             )
+        removed = self.leaving.export_removed()
+        for batch in peers.batched(removed, MAX_REMOVED_PER_MESSAGE):
+            self.link.send(started, self._base_update() | {"g": batch})
 
-    def _sends_ended_counts_to(self, member: peers.Member) -> bool:
+    def _informs(self, member: peers.Member) -> bool:
+        """Return whether this instance informs one that has started."""
         others = [
             peer.member.id
             for peer in self.link.fresh_peers()
             if peer.member.id != member.id
         ]
-        return self._is_chosen(member.id, others, ENDED_COUNTS_SENDERS)
+        return self._is_chosen(member.id, others, STARTED_PEER_SENDERS)
 
     def _is_chosen(
         self, key: str, others: list[ids.InstanceId], count: int
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -332,9 +332,9 @@
         start_periodic("members", MEMBERS_PERIOD_MS, self._update_members)
         start_periodic("usage", USAGE_PERIOD_MS, self.stored_rows.store_usage)
         start_periodic(
-            "ended counts",
-            exchange.ENDED_COUNTS_PERIOD_MS,
-            self.exchange.send_ended_counts,
+            "started peers",
+            exchange.STARTED_PEERS_PERIOD_MS,
+            self.exchange.inform_started_peers,
         )
         start_periodic(
             "software", SOFTWARE_PERIOD_MS, self.stored_rows.store_software
@@ -490,11 +490,6 @@
             self.state.targets,
             self.targets.reachable_since_ms,
         )
-        is_from_older_copy = (
-            is_full
-            and self.state.targets_version.number > 0
-            and changes.version.era > self.state.targets_version.era
-        )
         is_after_outage = (
             self.state.targets_version.number > 0
             and self.clock.now_ms() - reachable_since_ms
@@ -506,7 +501,6 @@
                 change.key,
                 change.value,
                 reachable_since_ms,
-                is_from_older_copy,
                 is_after_outage,
             )
         if is_full:
@@ -519,13 +513,9 @@
         key: str,
         value: bytes | None,
         reachable_since_ms: int,
-        is_from_older_copy: bool = False,
         is_after_outage: bool = False,
     ) -> None:
-        """Apply an entry, or its removal if the value is None.
-
-        An older copy may still have the entries of targets that are gone.
-        """
+        """Apply an entry, or its removal if the value is None."""
         target_id = ids.TargetId(key)
         if value is None:
             self.state.targets.remove(target_id, reachable_since_ms)
@@ -538,8 +528,7 @@
             )
             self.state.targets.remove(target_id, clocks.NEVER_MS)
             return
-        if not (is_from_older_copy and self.state.targets.is_removed(target)):
-            self.state.targets.put(target, is_after_outage)
+        self.state.targets.put(target, is_after_outage)
 
     def _apply_fleet_changes(
         self, changes: interfaces.Changes, is_full: bool
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/leaving_reports.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/leaving_reports.py
@@ -15,6 +15,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
+from cardamom_gateway.targets import removed_targets
 from cardamom_gateway.targets import target_registry
 
 MS_PER_S = 1000
@@ -66,6 +67,16 @@
         if entries:
             self._link.broadcast(self._base_update() | {"g": entries})
 
+    def export_removed(self) -> list[Entry]:
+        """Return the removed targets that a late write may bring back."""
+        removed = self._targets.removed.position_by_id(
+            removed_targets.LATE_WRITE_MS
+        )
+        return [
+            (target_id, last.started_ms, last.entry_sequence)
+            for target_id, last in removed.items()
+        ]
+
     def receive(self, update: peers.StateUpdate) -> None:
         """Apply the reports of a peer's message.
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -102,6 +102,7 @@
 class TargetRecord:
     """One target with its load, its failures and its holdings.
 
+    ``found_ms`` is when its incarnation was first read at its address.
     ``failure_ratio`` is a moving average from 0 to 1.  ``expired_ms`` is set
     while the entry is missing after an outage of the store, and
     ``leaving_at_write`` while a peer has reported that the target is leaving.
@@ -119,6 +120,7 @@
         cold: cold_targets.ColdState | None = None,
     ) -> None:
         self.target = target
+        self.found_ms: int = clocks.NEVER_MS
         self.cold = cold or cold_targets.ColdState(
             cold_targets.ColdRules(), target.service, target.id
         )
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -1,6 +1,7 @@
 """The targets known to this instance, and the load on them."""
 
 import asyncio
+import dataclasses
 import typing
 
 import structlog
@@ -13,6 +14,7 @@
 from cardamom_gateway.locations import evacuations as evacuations_module
 from cardamom_gateway import model
 from cardamom_gateway.targets import cold_targets
+from cardamom_gateway.targets import removed_targets
 from cardamom_gateway.targets import target_records
 
 LOG = structlog.get_logger("cardamom.gateway.targets")
@@ -23,8 +25,6 @@
 STATED_LEAVING_MS = 30_000
 # Streams that a former software version began may still be resumed.
 SOFTWARE_RETENTION_MS = 60_000
-# Copies from which the store comes back are far younger.
-REMOVED_RETENTION_MS = 60_000
 
 
 TargetFilter = typing.Callable[[model.Target], bool]
@@ -46,9 +46,9 @@
 class TargetRegistry:
     """All targets by id.
 
-    ``on_leaving`` is called with a target that begins to leave or is removed,
-    and ``on_software`` with a service whose targets have got another software
-    version.
+    ``on_leaving`` is called with a target that begins to leave, is removed, or
+    has a late entry after that, and ``on_software`` with a service whose
+    targets have got another software version.
     """
 
     def __init__(
@@ -72,22 +72,22 @@
         )
         self._software_seen_ms: dict[tuple[model.ServiceId, str], int] = {}
         self._software_since_ms: dict[tuple[model.ServiceId, str], int] = {}
-        self._removed_by_id: dict[ids.TargetId, tuple[int, model.Target]] = {}
+        self.removed = removed_targets.RemovedTargets(clock)
         self._loaded_by_peer: dict[str, list[ids.TargetId]] = {}
 
     def put(self, target: model.Target, is_after_outage: bool = False) -> None:
         """Add or update a target; a restart begins a new record.
 
+        An entry that the store has written late is ignored.
         ``is_after_outage`` is whether the entry was read just after an outage
         of the store.
         """
         record = self.by_id.get(target.id)
-        if (
-            record is not None
-            and record.target.started_ms == target.started_ms
-            and record.target.entry_sequence > target.entry_sequence
-        ):
-            return  # an older entry that arrived late
+        if record is not None and self._is_outdated(record, target):
+            return
+        if record is None and self.removed.is_late(target):
+            self._report_late(target)
+            return
         if record is not None:
             self._note_software(record.target)  # a restart may change it
         is_new_software = self._is_new_software(target)
@@ -107,6 +107,7 @@
                 is_after_outage,
             )
             record = target_records.TargetRecord(target, cache_tokens, cold)
+            record.found_ms = self._clock.now_ms()
             self.by_id[target.id] = record
             LOG.info(
                 "targets: found",
@@ -142,6 +143,43 @@
             self.on_software(target.service)
         self.notify()
 
+    def _is_outdated(
+        self, record: target_records.TargetRecord, target: model.Target
+    ) -> bool:
+        """Return whether an entry is older than that of a known target.
+
+        One of an earlier start counts as older only for a while, as the clock
+        that starts are ordered by may have been corrected.
+        """
+        known = record.target
+        if known.started_ms != target.started_ms:
+            return (
+                known.started_ms > target.started_ms
+                and self._clock.now_ms() - record.found_ms
+                <= removed_targets.LATE_WRITE_MS
+            )
+        return known.entry_sequence > target.entry_sequence
+
+    def _report_late(self, target: model.Target) -> None:
+        """Tell peers of a removed target whose entry is back.
+
+        Those that have just started don't know of the removal.
+        """
+        last = self.removed.position_by_id()[target.id]
+        LOG.info(
+            "targets: late entry ignored",
+            target=target.id,
+            sequence=target.entry_sequence,
+            known=last.entry_sequence,
+        )
+        self.on_leaving(
+            dataclasses.replace(
+                target,
+                started_ms=last.started_ms,
+                entry_sequence=last.entry_sequence,
+            )
+        )
+
     def _serves_again(
         self, record: target_records.TargetRecord, target: model.Target
     ) -> bool:
@@ -184,30 +222,8 @@
             return
         self._report_leaving(record)
         self._delete(record)
-        self._note_removed(record.target)
         LOG.info("targets: gone", target=target_id)
 
-    def _note_removed(self, target: model.Target) -> None:
-        now_ms = self._clock.now_ms()
-        self._removed_by_id = {
-            target_id: removed
-            for target_id, removed in self._removed_by_id.items()
-            if now_ms - removed[0] <= REMOVED_RETENTION_MS
-        } | {target.id: (now_ms, target)}
-
-    def is_removed(self, target: model.Target) -> bool:
-        """Return whether an entry is of a target that was removed lately.
-
-        A target that lives on has written a later entry since.
-        """
-        if target.id in self.by_id or target.id not in self._removed_by_id:
-            return False
-        _, removed = self._removed_by_id[target.id]
-        return (
-            target.started_ms == removed.started_ms
-            and target.entry_sequence <= removed.entry_sequence
-        )
-
     def has_ended_unplanned(self, record: target_records.TargetRecord) -> bool:
         """Return whether a target is gone without having said it would be.
 
@@ -241,8 +257,10 @@
                 LOG.info("targets: gone after an outage", target=target_id)
 
     def _delete(self, record: target_records.TargetRecord) -> None:
-        self._note_software(record.target)
-        del self.by_id[record.target.id]
+        target = record.target
+        self._note_software(target)
+        del self.by_id[target.id]
+        self.removed.note(target.id, removed_targets.position_of(target))
 
     def _note_software(self, target: model.Target) -> None:
         """Record when a software version of a service was last seen."""
@@ -402,12 +420,18 @@
     ) -> None:
         """Record a peer's report that a target is leaving or removed.
 
-        A later entry of the target overrides the report.
+        A later entry of the target overrides the report, also if the target
+        isn't known here yet.
         """
         record = self.by_id.get(target_id)
+        if record is None or record.target.started_ms < started_ms:
+            self.removed.note(
+                target_id,
+                removed_targets.EntryPosition(started_ms, entry_sequence),
+            )
+            return
         if (
-            record is None
-            or record.target.started_ms != started_ms
+            record.target.started_ms != started_ms
             or record.target.entry_sequence > entry_sequence
             or not record.is_usable
         ):
--- a/tests/gateway/test_target_registry.py
+++ b/tests/gateway/test_target_registry.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+import pytest
+
 from cardamom_gateway.engines import holdings
 from cardamom_gateway import model
+from cardamom_gateway.targets import removed_targets
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 from cardamom_kernel import clocks
@@ -113,6 +116,101 @@
         assert setup.usable == []
 
 
+class TestLateEntries:
+    """Entries that the store writes after their target's removal.
+
+    Guards against requests to targets that are gone (review, case 7).
+    """
+
+    @pytest.mark.parametrize("entry_sequence", [1, 4, 5])
+    def test_late_entry_does_not_bring_a_removed_target_back(
+        self, entry_sequence: int
+    ) -> None:
+        """Its sequence is none that a target that lives on would write."""
+        setup = RegistryWithTarget()
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.put(entry_sequence=entry_sequence)
+        assert not setup.targets.by_id
+
+    def test_late_entry_does_not_bring_a_target_back_after_an_outage(
+        self,
+    ) -> None:
+        """One that is still missing after the grace is gone, too."""
+        setup = RegistryWithTarget()
+        setup.targets.remove(ENTRY.id, setup.clock.now_ms())
+        setup.clock.step(target_registry.RETURN_GRACE_MS)
+        setup.targets.drop_expired()
+        setup.put(entry_sequence=4)
+        assert not setup.targets.by_id
+
+    def test_late_entry_of_a_target_that_moved_is_ignored(self) -> None:
+        """The last entry counts, whatever address it had."""
+        setup = RegistryWithTarget()
+        setup.put(entry_sequence=7, address="10.1.1.9:80")
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.put(entry_sequence=6)
+        assert not setup.targets.by_id
+
+    def test_late_entry_of_an_earlier_start_is_ignored(self) -> None:
+        """The target has started again, or was removed after that."""
+        setup = RegistryWithTarget()
+        setup.put(started_ms=2_000, entry_sequence=1)
+        setup.put(entry_sequence=6)
+        assert setup.targets.by_id[ENTRY.id].target.started_ms == 2_000
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.put(entry_sequence=6)
+        assert not setup.targets.by_id
+
+    def test_live_target_is_back_with_its_next_entry(self) -> None:
+        """Its entry had lapsed, or another writer's couldn't be read."""
+        setup = RegistryWithTarget()
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.put(entry_sequence=4)
+        setup.put(entry_sequence=6)
+        assert setup.usable == ["i-1"]
+
+    def test_restarted_target_is_back_at_once(self) -> None:
+        """Its sequence begins anew."""
+        setup = RegistryWithTarget()
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.put(started_ms=2_000, entry_sequence=1)
+        assert setup.usable == ["i-1"]
+
+    def test_start_by_a_corrected_clock_is_accepted_after_a_while(
+        self,
+    ) -> None:
+        """Otherwise the target would never be used again."""
+        setup = RegistryWithTarget()
+        setup.clock.step(removed_targets.LATE_WRITE_MS + 1)
+        setup.put(started_ms=500, entry_sequence=1)
+        assert setup.targets.by_id[ENTRY.id].target.started_ms == 500
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        setup.clock.step(removed_targets.LATE_WRITE_MS + 1)
+        setup.put(started_ms=400, entry_sequence=1)
+        assert setup.usable == ["i-1"]
+
+    def test_peers_hear_of_a_late_entry(self) -> None:
+        """An instance that has just started doesn't know of the removal."""
+        setup = RegistryWithTarget()
+        setup.targets.remove(ENTRY.id, clocks.NEVER_MS)
+        reported: list[model.Target] = []
+        setup.targets.on_leaving = reported.append
+        setup.put(entry_sequence=4)
+        assert [
+            (target.started_ms, target.entry_sequence) for target in reported
+        ] == [(ENTRY.started_ms, 5)]
+
+    def test_report_holds_for_an_entry_that_is_read_later(self) -> None:
+        """An instance that has just started reads the late entry after it."""
+        setup = RegistryWithTarget()
+        other = dataclasses.replace(ENTRY, id=ids.TargetId("i-2"))
+        setup.targets.mark_leaving(other.id, other.started_ms, 5)
+        setup.targets.put(other)
+        assert list(setup.targets.by_id) == ["i-1"]
+        setup.targets.put(dataclasses.replace(other, entry_sequence=6))
+        assert setup.usable == ["i-1", "i-2"]
+
+
 class TestHoldings:
     """Holdings of engines, by their entries and by the lease holder."""
 
