Count restarted targets of a brittle service as brittle

Cause: that a target is brittle was kept for its incarnation, so that the next one got requests without permits from all instances until its first answers. Why it works: the bound on requests in flight holds from the first request on, and the first answer tells whether it is needed.

--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -155,6 +155,7 @@
         self, record: target_records.TargetRecord, answer: model.AnswerHead
     ) -> None:
         """Record what an answer of a target says of its limit."""
+        record.has_answered = True
         if answer.malformed_limit is not None:
             self._report_malformed(record, answer.malformed_limit)
             return
@@ -164,11 +165,19 @@
         record.limit = target_records.StatedLimit(
             *stated, self._clock.now_ms(), is_own=True
         )
+        self._note_brittle(record)
         if previous is not None and previous.values == stated:
             return
         self._log_change(record, self._instance)
         self._link.broadcast(self._base_update() | {"t": self.export()})
 
+    def _note_brittle(self, record: target_records.TargetRecord) -> None:
+        limit = record.limit
+        if limit is not None and limit.tolerated_rejections is not None:
+            self._targets.brittle_services.note_stated(
+                record.target.service, limit.at_ms
+            )
+
     def _report_malformed(
         self, record: target_records.TargetRecord, value: str
     ) -> None:
@@ -233,6 +242,7 @@
             record.limit = target_records.StatedLimit(
                 *stated, at_ms, is_own=False
             )
+            self._note_brittle(record)
             if previous is None or previous.values != stated:
                 self._log_change(record, str(update["n"]))
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -12,6 +12,7 @@
 
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway import model
+from cardamom_gateway.targets import brittle_services
 from cardamom_gateway.targets import cold_targets
 from cardamom_gateway.targets import pauses
 
@@ -107,7 +108,8 @@
     while the entry is missing after an outage of the store, and
     ``leaving_at_write`` while a peer has reported that the target is leaving.
     ``stated_leaving_ms`` is when the target last said so in an answer.
-    ``limit`` is set once the target has stated one.  ``is_relayed`` is whether
+    ``limit`` is set once the target has stated one, and ``has_answered`` once
+    this instance has read an answer of it.  ``is_relayed`` is whether
     only peers reach it, so that requests go through them; ``next_retry_ms`` is
     then when to connect from here again.  ``unreached_since_ms`` is when the
     first of the latest probes began, all of which failed.
@@ -118,8 +120,10 @@
         target: model.Target,
         cache_tokens: int,
         cold: cold_targets.ColdState | None = None,
+        brittle: brittle_services.BrittleServices | None = None,
     ) -> None:
         self.target = target
+        self._brittle = brittle or brittle_services.BrittleServices()
         self.found_ms: int = clocks.NEVER_MS
         self.cold = cold or cold_targets.ColdState(
             cold_targets.ColdRules(), target.service, target.id
@@ -144,6 +148,7 @@
         self.stated_leaving_ms: int | None = None
         self.attempts: set[typing.Any] = set()
         self.limit: StatedLimit | None = None
+        self.has_answered = False
         self.malformed_limit = ""
         self.pause = pauses.Pause()
         self._no_permit_until_ms: dict[bool, int] = {}
@@ -165,12 +170,23 @@
         """
         limit = self.limit if self.limit and self.limit.is_stated else None
         cold = self.cold.bound(now_ms)
-        if limit is None and cold is None:
+        is_brittle = self._is_brittle(now_ms)
+        if limit is None and cold is None and not is_brittle:
             return None
         return PermitNeed(
-            limit.rate_per_s if limit else None,
-            limit is not None and limit.tolerated_rejections is not None,
-            cold,
+            limit.rate_per_s if limit else None, is_brittle, cold
+        )
+
+    def _is_brittle(self, now_ms: int) -> bool:
+        """Return whether the target is brittle, as far as is known.
+
+        Nothing else is known of one that has just started than what others of
+        its service state.
+        """
+        if self.limit is not None:
+            return self.limit.tolerated_rejections is not None
+        return not self.has_answered and self._brittle.is_brittle(
+            self.target.service, now_ms
         )
 
     def note_cold(self, until_ms: int) -> None:
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_registry.py
@@ -13,6 +13,7 @@
 from cardamom_gateway.engines import holdings as holdings_module
 from cardamom_gateway.locations import evacuations as evacuations_module
 from cardamom_gateway import model
+from cardamom_gateway.targets import brittle_services
 from cardamom_gateway.targets import cold_targets
 from cardamom_gateway.targets import removed_targets
 from cardamom_gateway.targets import target_records
@@ -65,6 +66,7 @@
         self.by_id: dict[ids.TargetId, target_records.TargetRecord] = {}
         self.cache_tokens_by_service: dict[model.ServiceId, int] = {}
         self.cold_rules = cold_targets.ColdRules()
+        self.brittle_services = brittle_services.BrittleServices()
         self._changed = asyncio.Event()
         self.on_leaving: typing.Callable[[model.Target], None] = _do_nothing
         self.on_software: typing.Callable[[model.ServiceId], None] = (
@@ -106,7 +108,9 @@
                 self._clock.now_ms(),
                 is_after_outage,
             )
-            record = target_records.TargetRecord(target, cache_tokens, cold)
+            record = target_records.TargetRecord(
+                target, cache_tokens, cold, self.brittle_services
+            )
             record.found_ms = self._clock.now_ms()
             self.by_id[target.id] = record
             LOG.info(
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -1,6 +1,7 @@
 """Tests of the permits that a fleet of instances shares."""
 
 import collections
+import dataclasses
 import random
 import typing
 
@@ -8,6 +9,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
+from cardamom_gateway.targets import brittle_services
 from cardamom_gateway.targets import permit_client
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
@@ -38,9 +40,13 @@
 )
 
 
-def answer_head(rate_per_s: float | None) -> model.AnswerHead:
-    """Return the head of an answer that states this limit."""
-    return model.AnswerHead("a", True, False, None, rate_per_s)
+def answer_head(
+    rate_per_s: float | None, tolerated_rejections: int | None = None
+) -> model.AnswerHead:
+    """Return the head of an answer that states these limits."""
+    return model.AnswerHead(
+        "a", True, False, None, rate_per_s, tolerated_rejections
+    )
 
 
 class Fleet:
@@ -256,3 +262,70 @@
         update = {"n": "x", "t": {TARGET.id: entry}}
         with pytest.raises((ValueError, TypeError)):
             fleet.all_limits[0].receive(update)
+
+
+class TestRestartedBrittleTargets:
+    """Targets that start while others of their service are brittle."""
+
+    OTHER = dataclasses.replace(TARGET, id=ids.TargetId("e2"))
+
+    def _start_other(
+        self, fleet: Fleet, number: int = 0
+    ) -> target_records.TargetRecord:
+        """Let another target start; return its record at an instance."""
+        registry = fleet.all_limits[number]._targets
+        registry.put(self.OTHER)
+        return registry.by_id[self.OTHER.id]
+
+    def _is_brittle(
+        self, fleet: Fleet, record: target_records.TargetRecord
+    ) -> bool:
+        need = record.permit_need(fleet.clock.now_ms())
+        return need is not None and need.is_brittle
+
+    def test_target_counts_as_brittle_before_its_first_answer(self) -> None:
+        """At all instances, whichever of them have heard of the others."""
+        fleet = Fleet(2)
+        fleet.all_limits[0].note_answer(fleet.records[0], answer_head(None, 3))
+        fleet.network.deliver()
+        for number in range(2):
+            record = self._start_other(fleet, number)
+            assert self._is_brittle(fleet, record)
+
+    def test_first_answer_decides(self) -> None:
+        """One brittle target doesn't bind its service for long."""
+        fleet = Fleet(1)
+        limits = fleet.all_limits[0]
+        limits.note_answer(fleet.records[0], answer_head(None, 3))
+        record = self._start_other(fleet)
+        limits.note_answer(record, answer_head(None))
+        assert not self._is_brittle(fleet, record)
+        limits.note_answer(fleet.records[0], answer_head(None, 3))
+        assert not self._is_brittle(fleet, record)
+
+    def test_target_that_has_answered_is_not_bound_by_others(self) -> None:
+        """It would have said so itself."""
+        fleet = Fleet(1)
+        record = self._start_other(fleet)
+        limits = fleet.all_limits[0]
+        limits.note_answer(record, answer_head(None))
+        limits.note_answer(fleet.records[0], answer_head(None, 3))
+        assert not self._is_brittle(fleet, record)
+
+    def test_other_services_are_not_bound(self) -> None:
+        """Their targets may be of another kind."""
+        fleet = Fleet(1)
+        limits = fleet.all_limits[0]
+        limits.note_answer(fleet.records[0], answer_head(None, 3))
+        registry = limits._targets
+        registry.put(
+            dataclasses.replace(self.OTHER, service=model.ServiceId("plain"))
+        )
+        assert not self._is_brittle(fleet, registry.by_id[self.OTHER.id])
+
+    def test_statement_of_long_ago_binds_nobody(self) -> None:
+        """The others may have been idle, or replaced, since."""
+        fleet = Fleet(1)
+        fleet.all_limits[0].note_answer(fleet.records[0], answer_head(None, 3))
+        fleet.clock.step(brittle_services.RETENTION_MS + 1)
+        assert not self._is_brittle(fleet, self._start_other(fleet))
--- a/tests/wire/test_brittle_targets.py
+++ b/tests/wire/test_brittle_targets.py
@@ -20,13 +20,24 @@
 # Falls that the operators allow: 2, and a tenth of the targets.
 MAX_FALLS = 2
 OFFERED_PER_S = 4 * ROOM / RUN_S
+# Targets that run as many requests as their entry says, while one waits.
+FULL_ROOM = 7
+LONG_RUN_S = 0.3
+RESTARTS_S = 16.0
 
 
 class Brittle:
     """Targets that fall over after some rejections within a second."""
 
-    def __init__(self, deployment: standins.Deployment) -> None:
+    def __init__(
+        self,
+        deployment: standins.Deployment,
+        room: int = ROOM,
+        run_s: float = RUN_S,
+    ) -> None:
         self._deployment = deployment
+        self._room = room
+        self._run_s = run_s
         self._running: collections.Counter[str] = collections.Counter()
         self._rejected_s: dict[str, list[float]] = collections.defaultdict(
             list
@@ -41,14 +52,14 @@
         """Answer after a while, or reject for want of room."""
         headers = standins.signed(request)
         headers["Server-Brittle"] = str(TOLERATED_REJECTIONS)
-        if self._running[replica.name] >= ROOM:
+        if self._running[replica.name] >= self._room:
             self._note_rejection(replica)
             return web.Response(
                 status=503, headers=headers | {"Not-Executed": "1"}
             )
         self._running[replica.name] += 1
         try:
-            await asyncio.sleep(RUN_S)
+            await asyncio.sleep(self._run_s)
         finally:
             self._running[replica.name] -= 1
         return web.Response(text=replica.name, headers=headers)
@@ -66,9 +77,13 @@
         if len(recent) + 1 > TOLERATED_REJECTIONS:
             self._rejected_s[replica.name].clear()
             self.falls += 1
-            task = asyncio.create_task(self._fall(replica))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.crash(replica)
+
+    def crash(self, replica: standins.ReplicaStandIn) -> None:
+        """Let a target crash, and return after a time."""
+        task = asyncio.create_task(self._fall(replica))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _fall(self, replica: standins.ReplicaStandIn) -> None:
         await replica.crash(DOWN_S)
@@ -94,25 +109,67 @@
         ) -> None:
             await scenarios.lift_limits(deployment)
             brittle = Brittle(deployment)
-            for replica in deployment.replicas:
-                replica.behaviour = brittle.answer
-            statuses: list[int] = []
-
-            async def send(number: int) -> None:
-                async with session.get(
-                    deployment.url("/read/x", number % 3),
-                    headers=scenarios.headers(f"a{number}"),
-                ) as answer:
-                    await answer.read()
-                    statuses.append(answer.status)
-
-            async with asyncio.TaskGroup() as group:
-                for number in range(round(DURATION_S * requests_per_s)):
-                    group.create_task(send(number))
-                    await asyncio.sleep(1 / requests_per_s)
-            await brittle.finish()
+            statuses = await _send_reads(
+                deployment, session, brittle, requests_per_s, DURATION_S
+            )
             assert brittle.falls <= MAX_FALLS
             served_per_s = statuses.count(200) / DURATION_S
             assert served_per_s >= 0.75 * min(requests_per_s, OFFERED_PER_S)
 
         scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
+
+    def test_brittle_targets_do_not_fall_over_after_a_restart(self) -> None:
+        """Guards against falls at each return (review, case 9).
+
+        Nobody knew that they were brittle until their first answers.
+        """
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await scenarios.lift_limits(deployment)
+            brittle = Brittle(deployment, FULL_ROOM, LONG_RUN_S)
+            capacity_per_s = len(deployment.replicas) * FULL_ROOM / LONG_RUN_S
+            loop = asyncio.get_running_loop()
+            for replica in deployment.replicas[:2]:
+                loop.call_later(CONTACT_S + 1, brittle.crash, replica)
+            statuses = await _send_reads(
+                deployment, session, brittle, capacity_per_s, RESTARTS_S
+            )
+            assert brittle.falls <= MAX_FALLS
+            assert statuses.count(200) >= 0.6 * len(statuses)
+
+        scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
+
+
+async def _send_reads(
+    deployment: standins.Deployment,
+    session: aiohttp.ClientSession,
+    brittle: Brittle,
+    requests_per_s: float,
+    duration_s: float,
+) -> list[int]:
+    """Send reads to all instances in turn; return the answers' statuses.
+
+    No two are alike, so that none is suspected of the crashes.
+    """
+    for replica in deployment.replicas:
+        replica.behaviour = brittle.answer
+    statuses: list[int] = []
+
+    async def send(number: int) -> None:
+        async with session.get(
+            deployment.url(
+                f"/read/{number}", number % len(deployment.gateways)
+            ),
+            headers=scenarios.headers(f"a{number}"),
+        ) as answer:
+            await answer.read()
+            statuses.append(answer.status)
+
+    async with asyncio.TaskGroup() as group:
+        for number in range(round(duration_s * requests_per_s)):
+            group.create_task(send(number))
+            await asyncio.sleep(1 / requests_per_s)
+    await brittle.finish()
+    return statuses
