Count requests at brittle targets once while instances restart

Requests under way when a target turned brittle were counted nowhere, and both halves of a partition counted the whole room. Change: one instance counts: questions and ends are passed on to it, a new owner takes the count over, one that owns no longer gives it back, and a count that nobody has begins with the reported load. Registered instances are greeted at once, and an instance is ready once it has heard another, at the latest after 1 s. Smaller sides of a partition use their part of the bound.

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
@@ -21,6 +21,7 @@
 from cardamom_gateway import sockets
 from cardamom_gateway import state as state_module
 from cardamom_gateway.store import store_relay
+from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 
 LOG = structlog.get_logger("cardamom.gateway.peer_calls")
@@ -29,6 +30,7 @@
 ORIGIN_TIMEOUT_S = 0.3  # a caller waits for the rest of its stream
 REACH_TIMEOUT_S = 0.6  # a peer tries for 0.4 s to connect
 PERMIT_TIMEOUT_S = 0.15  # another target may serve the caller
+COUNT_TIMEOUT_S = 0.1  # requests for permits wait for it
 CONNECT_TIMEOUT_S = 0.3
 IDLE_TIMEOUT_S = 20.0
 CALL_ERRORS = (
@@ -48,7 +50,7 @@
 ]
 
 
-class PeerCalls:
+class PeerCalls(permit_owners.PermitCalls):
     """Calls peers and answers their calls."""
 
     def __init__(
@@ -68,7 +70,9 @@
         self._load_adapter = load_adapter
         self._holdings_snapshot = holdings_snapshot
         self._origins = origins
-        self._limits = limits
+        self.permit_owners = permit_owners.PermitOwners(
+            state.clock, limits, self
+        )
         self._reaches_target = reaches_target
         self._pool = pools.Pool(
             pools.PoolSettings(
@@ -102,10 +106,25 @@
                 int(request.query.get("started_ms", "0")),
             )
         if request.path == "/permit" and request.method == "POST":
-            return self._answer_permit(orjson.loads(await request.read()))
+            return await self._answer_permit(
+                orjson.loads(await request.read()), request.query
+            )
         if request.path == "/permit-end" and request.method == "POST":
             fields = orjson.loads(await request.read())
-            self._limits.finish(target_limits.PermitEnd(**fields))
+            await self.permit_owners.finish(
+                target_limits.PermitEnd(**fields), _is_passed_on(request.query)
+            )
+            return web.Response(body=b"{}")
+        if request.path == "/count" and request.method == "POST":
+            return await self._answer_count(
+                orjson.loads(await request.read()), request.query
+            )
+        if request.path == "/returned-count" and request.method == "POST":
+            fields = orjson.loads(await request.read())
+            self.permit_owners.accept(
+                str(fields["incarnation"]),
+                permit_owners.decode_count(fields["count"]),
+            )
             return web.Response(body=b"{}")
         if request.path == "/row" and request.method == "GET":
             return await self._answer_row(request.query.get("key", ""))
@@ -176,33 +195,117 @@
         )
         return None if fields is None else fields["reached"]
 
-    def _answer_permit(self, fields: dict[str, typing.Any]) -> web.Response:
-        wait_ms = self._limits.take(target_limits.PermitRequest(**fields))
+    async def _answer_permit(
+        self,
+        fields: dict[str, typing.Any],
+        query: typing.Mapping[str, str],
+    ) -> web.Response:
+        running = query.get("running")
+        wait_ms = await self.permit_owners.take(
+            target_limits.PermitRequest(**fields),
+            None if running is None else int(running),
+            _is_passed_on(query),
+        )
+        if wait_ms is None:
+            return web.Response(status=503)
         return web.Response(body=orjson.dumps({"wait_ms": wait_ms}))
 
     async def report_permit_end(
-        self, owner: peers.Member, end: target_limits.PermitEnd
+        self,
+        owner: peers.Member,
+        end: target_limits.PermitEnd,
+        is_passed_on: bool = False,
     ) -> None:
-        """Tell the owner of a permit that its request has ended."""
-        await self._call("POST", owner, "/permit-end", dataclasses.asdict(end))
+        """Tell an owner that a request with a permit has ended."""
+        await self._call(
+            "POST",
+            owner,
+            f"/permit-end?passed_on={int(is_passed_on)}",
+            dataclasses.asdict(end),
+        )
 
     async def ask_permit(
-        self, owner: peers.Member, request: target_limits.PermitRequest
+        self,
+        owner: peers.Member,
+        request: target_limits.PermitRequest,
+        running: int,
+        is_passed_on: bool = False,
     ) -> int | None:
-        """Ask the owner of a target's permits for one.
+        """Ask an owner for a permit; return the ms to wait, or None.
 
-        Returns 0 for a permit, the ms until there may be one, or None without
-        an answer.
+        What earlier builds don't know is in the query, which they ignore.
         """
         fields = await self._call(
             "POST",
             owner,
-            "/permit",
+            f"/permit?running={running}&passed_on={int(is_passed_on)}",
             request.fields(),
             timeout_s=PERMIT_TIMEOUT_S,
         )
         return None if fields is None else int(fields["wait_ms"])
 
+    async def _answer_count(
+        self,
+        fields: dict[str, typing.Any],
+        query: typing.Mapping[str, str],
+    ) -> web.Response:
+        count = await self.permit_owners.hand_over(
+            str(fields["incarnation"]),
+            peers.Member(**fields["to"]),
+            _is_passed_on(query),
+        )
+        body = {"count": count and dataclasses.asdict(count)}
+        return web.Response(body=orjson.dumps(body))
+
+    async def take_count(
+        self,
+        previous: peers.Member,
+        incarnation: str,
+        to: peers.Member | None = None,
+    ) -> target_limits.Count | None:
+        """Take a target's count over from an instance, None without one."""
+        settings = self._state.settings
+        member = to or peers.Member(
+            settings.instance,
+            settings.peers_host,
+            settings.peers_port,
+            settings.data_centre,
+            "",
+        )
+        fields = await self._call(
+            "POST",
+            previous,
+            f"/count?passed_on={int(to is not None)}",
+            {"incarnation": incarnation, "to": dataclasses.asdict(member)},
+            timeout_s=COUNT_TIMEOUT_S,
+        )
+        if fields is None or fields["count"] is None:
+            return None
+        try:
+            return permit_owners.decode_count(fields["count"])
+        except (KeyError, TypeError, ValueError) as error:
+            LOG.warning(
+                "peer_calls: count not usable",
+                peer=previous.id,
+                error=repr(error),
+            )
+            return None
+
+    async def return_count(
+        self,
+        owner: peers.Member,
+        incarnation: str,
+        count: target_limits.Count,
+    ) -> None:
+        """Give a target's count to the instance that owns it now."""
+        await self._call(
+            "POST",
+            owner,
+            "/returned-count",
+            {"incarnation": incarnation, "count": dataclasses.asdict(count)},
+            timeout_s=COUNT_TIMEOUT_S,
+        )
+
     async def _answer_row(self, key: str) -> web.Response:
         try:
             rows = await self._table.read_latest([key])
@@ -350,3 +453,7 @@
                 self._pool.note_timeout(session)
             LOG.info("peer_calls: failed", peer=peer.id, error=repr(error))
             return None
+
+
+def _is_passed_on(query: typing.Mapping[str, str]) -> bool:
+    return query.get("passed_on") == "1"
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peers.py
@@ -35,6 +35,7 @@
 SAMPLED_IN_LARGE_FLEET = 1
 HOLDER_ROUNDS = 2  # between two updates for the holder of the lease
 HOLDER_ROUNDS_IN_LARGE_FLEET = 5
+STARTING_MS = 5_000  # an instance that is first heard so soon has started
 MAX_DATAGRAM_BYTES = 60_000  # an IPv4 datagram holds 65,507
 
 StateUpdate = dict[str, typing.Any]
@@ -129,12 +130,19 @@
             self._transport = None
 
     def set_members(self, members: typing.Iterable[Member]) -> None:
-        """Set the registered instances, leaving this one out."""
+        """Set the registered instances, leaving this one out.
+
+        Those that are new get an update at once.
+        """
+        known = self.member_by_id
         self.member_by_id = {
             member.id: member
             for member in members
             if member.id != self._settings.instance
         }
+        joined = [m for m in self.member_by_id.values() if m.id not in known]
+        for member in _sample(joined):
+            self.send_update([member], self._audience(member))
 
     def fresh_peers(self) -> list[Peer]:
         """Return the peers whose latest state update is fresh."""
@@ -332,6 +340,12 @@
             )
             self._note_counts(peer_id, incarnation, update)
             self._receive(f"{peer_id}@{incarnation}", update, 0)
+            is_first = (
+                previous is None or previous.update.get("u") != incarnation
+            )
+            if is_first and int(update["up"]) <= STARTING_MS:
+                # It waits for what others know.
+                self.send_update([member], self._audience(member))
         except (ValueError, KeyError, TypeError, IndexError) as error:
             LOG.warning("peers: malformed news", error=repr(error))
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -62,6 +62,8 @@
 # Far longer than a network partition or the replacement of an instance.
 MEMBER_SILENT_MS = 600_000
 WATCH_PERIOD_MS = 200
+# Peers that are up answer the first message of an instance at once.
+MAX_PEERS_WAIT_MS = 1_000
 # The load balancer checks readiness every second and needs two checks.
 STOP_ACCEPTING_DELAY_MS = 2_600
 # Time of the grace period that is reserved for closing connections.
@@ -211,10 +213,8 @@
         self.permit_client = permit_client.PermitClient(
             self.settings.instance,
             self.clock,
-            self.exchange.limits,
+            self.peer_calls.permit_owners,
             self._group,
-            self.peer_calls.ask_permit,
-            self.peer_calls.report_permit_end,
             state.metrics,
         )
         self.relay = relaying.Relay(
@@ -293,6 +293,20 @@
             self.state.configuration is not None
             and bool(self.state.targets.by_id)
             and not self.state.is_stopping
+            and self._has_heard_peers
+        )
+
+    @property
+    def _has_heard_peers(self) -> bool:
+        """Return whether this instance knows what others state of targets.
+
+        It doesn't wait for long, as none of them may be up.
+        """
+        is_alone = self.fleet.is_reached and not self.link.member_by_id
+        return (
+            is_alone
+            or bool(self.link.peer_by_id)
+            or self.clock.now_ms() - self._started_ms >= MAX_PEERS_WAIT_MS
         )
 
     async def start(self) -> None:
@@ -356,6 +370,11 @@
         start_periodic(
             "permit owners", WATCH_PERIOD_MS, self.exchange.limits.observe
         )
+        start_periodic(
+            "permit counts",
+            WATCH_PERIOD_MS,
+            self.peer_calls.permit_owners.return_counts,
+        )
         start_periodic("catch-up", CATCH_UP_CHECK_PERIOD_MS, self._catch_up)
         start_periodic(
             "store watch", store_watch.CHECK_PERIOD_MS, self.store_watch.check
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import itertools
-import typing
 
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
@@ -10,6 +9,7 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import metrics as metrics_module
+from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 
@@ -18,15 +18,6 @@
 # A permit expires this long after the deadline of its request.
 EXPIRY_MARGIN_MS = 1_000
 
-PermitCall = typing.Callable[
-    [peers.Member, target_limits.PermitRequest],
-    typing.Awaitable[int | None],
-]
-PermitEndCall = typing.Callable[
-    [peers.Member, target_limits.PermitEnd],
-    typing.Coroutine[typing.Any, typing.Any, None],
-]
-
 
 @dataclasses.dataclass(frozen=True)
 class Permit:
@@ -43,18 +34,14 @@
         self,
         instance: ids.InstanceId,
         clock: clocks.Clock,
-        limits: target_limits.TargetLimits,
+        owners: permit_owners.PermitOwners,
         group: tasks.TaskGroup,
-        ask: PermitCall,
-        report_end: PermitEndCall,
         metrics: metrics_module.Metrics | None = None,
     ) -> None:
         self._instance = instance
         self._clock = clock
-        self._limits = limits
+        self._owners = owners
         self._group = group
-        self._ask = ask
-        self._report_end = report_end
         self._metrics = metrics or metrics_module.Metrics()
         self._numbers = itertools.count()
 
@@ -83,11 +70,12 @@
             cold_rate_per_s=need.cold.rate_per_s if need.cold else None,
             cold_burst=need.cold.burst if need.cold else None,
         )
-        owner = self._limits.owner(request.incarnation)
+        owner = self._owners.limits.owner(request.incarnation)
+        running = record.load.running
         wait_ms = (
-            self._limits.take(request)
+            await self._owners.take(request, running)
             if owner is None
-            else await self._ask(owner, request)
+            else await self._owners.calls.ask_permit(owner, request, running)
         )
         self._metrics.permits.labels(need.reason, _outcome(wait_ms)).inc()
         if wait_ms == 0:
@@ -103,10 +91,11 @@
         end = target_limits.PermitEnd(
             permit.request.incarnation, permit.request.permit, was_rejected
         )
-        if permit.owner is None:
-            self._limits.finish(end)
-            return
-        self._group.run_in_background(self._report_end(permit.owner, end))
+        self._group.run_in_background(
+            self._owners.finish(end)
+            if permit.owner is None
+            else self._owners.calls.report_permit_end(permit.owner, end)
+        )
 
 
 def _outcome(wait_ms: int | None) -> str:
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -54,6 +54,7 @@
 # Part of its share that an instance uses which can't know what is cold.
 CUT_OFF_RATIO = 0.5
 NOTHING: target_records.LimitValues = (None, None)
+Count = room_module.Count
 
 
 @dataclasses.dataclass(frozen=True)
@@ -76,6 +77,11 @@
     cold_rate_per_s: float | None = None
     cold_burst: float | None = None
 
+    @property
+    def sender(self) -> str:
+        """Return the instance that asks."""
+        return self.permit.rpartition("-")[0]
+
     @property
     def cold(self) -> cold_starts.ColdBound | None:
         """Return the bound of a cold target, None for a warm one."""
@@ -115,11 +121,11 @@
 
 @dataclasses.dataclass
 class _Owned:
-    """What the owner of a target counts."""
+    """What the owner of a target counts, with a room if it is brittle."""
 
     bucket: permits.PermitBucket
-    room: room_module.Room
     used_ms: int
+    room: room_module.Room | None = None
 
 
 class TargetLimits:
@@ -248,10 +254,11 @@
 
     # Permits.
 
-    def take(self, request: PermitRequest) -> int:
+    def take(self, request: PermitRequest, running: int | None = None) -> int:
         """Take a permit of a target; return 0, or the ms until there is one.
 
-        The caller takes this instance for the owner.
+        The caller takes this instance for the owner, and has ``running``
+        requests at the target, None if that isn't known.
         """
         now_ms = self._clock.now_ms()
         if self._is_closed(request.incarnation):
@@ -263,19 +270,11 @@
                 return UNSETTLED_WAIT_MS
         self._drop_unused(now_ms)
         owned = self._owned_by_incarnation.setdefault(
-            request.incarnation,
-            _Owned(
-                permits.PermitBucket(now_ms),
-                room_module.Room(request.slots, now_ms),
-                now_ms,
-            ),
+            request.incarnation, _Owned(permits.PermitBucket(now_ms), now_ms)
         )
         owned.used_ms = now_ms
-        if request.is_brittle and not owned.room.take(
-            request.permit,
-            request.is_urgent,
-            now_ms + request.expires_in_ms,
-            now_ms,
+        if request.is_brittle and not self._take_room(
+            owned, request, running, now_ms
         ):
             return ROOM_WAIT_MS
         if request.rate_per_s is None and cold is None:
@@ -288,23 +287,124 @@
             now_ms,
             cold and cold.scaled(self._cold_share(now_ms)),
         )
-        if wait_ms > 0:
+        if wait_ms > 0 and owned.room is not None:
             owned.room.finish(request.permit, False, now_ms)
         return wait_ms
 
+    def _take_room(
+        self,
+        owned: _Owned,
+        request: PermitRequest,
+        running: int | None,
+        now_ms: int,
+    ) -> bool:
+        """Count a request at a brittle target if there is room for it."""
+        if owned.room is None:
+            owned.room = room_module.Room(request.slots, now_ms)
+        room = owned.room
+        if room.has_uncounted:
+            room.note_running(self._running_by_sender(request.incarnation))
+            if running is not None:
+                room.note_sender(request.sender, running)
+        return room.take(
+            request.permit,
+            request.is_urgent,
+            now_ms + request.expires_in_ms,
+            now_ms,
+            self._share(),
+        )
+
+    # The count of requests in flight, and who has it.
+
+    def is_counting(self, incarnation: str) -> bool:
+        """Return whether this instance counts the requests at a target."""
+        owned = self._owned_by_incarnation.get(incarnation)
+        return owned is not None and owned.room is not None
+
+    def begin_count(self, incarnation: str, count: Count) -> None:
+        """Count the requests at a target, from what another has counted."""
+        now_ms = self._clock.now_ms()
+        owned = self._owned_by_incarnation.setdefault(
+            incarnation, _Owned(permits.PermitBucket(now_ms), now_ms)
+        )
+        if owned.room is None:
+            owned.room = room_module.Room.continued(count, now_ms)
+        else:
+            owned.room.merge(count, now_ms)
+
+    def estimate_count(self, incarnation: str, slots: int) -> Count:
+        """Return the count of a target that nobody has counted yet.
+
+        The requests that are under way there have no permits.
+        """
+        slots = max(1, slots)
+        return Count(slots, slots, 0, [], self._running_by_sender(incarnation))
+
+    def give_up(self, incarnation: str) -> Count | None:
+        """Stop counting at a target; return the count, None without one."""
+        owned = self._owned_by_incarnation.get(incarnation)
+        if owned is None or owned.room is None:
+            return None
+        count = owned.room.export(self._clock.now_ms())
+        owned.room = None
+        return count
+
+    def counted_for_others(self) -> list[tuple[str, peers.Member]]:
+        """Return the targets counted here that others own, and their owners.
+
+        Returns none for SETTLING_MS after any change of owners.
+        """
+        now_ms = self._clock.now_ms()
+        if not self._views or self._views[0].since_ms > now_ms - SETTLING_MS:
+            return []
+        owners = [
+            (incarnation, self.owner(incarnation))
+            for incarnation, owned in self._owned_by_incarnation.items()
+            if owned.room is not None
+        ]
+        return [(i, owner) for i, owner in owners if owner is not None]
+
+    def previous_owner(self, incarnation: str) -> peers.Member | None:
+        """Return the owner of a target if this instance weren't there.
+
+        Instances that are stopping count, as they may have been the owner.
+        """
+        member_by_id = {
+            peer.member.id: peer.member for peer in self._link.fresh_peers()
+        }
+        if not member_by_id:
+            return None
+        return member_by_id[rendezvous.owners(incarnation, member_by_id)[0]]
+
+    def is_stopping_peer(self, instance: ids.InstanceId) -> bool:
+        """Return whether another instance says that it is stopping."""
+        peer = self._link.peer_by_id.get(instance)
+        return peer is not None and bool(peer.update.get("st"))
+
+    def _running_by_sender(self, incarnation: str) -> dict[str, int]:
+        """Return the requests at a target as all instances report them."""
+        record = self._targets.by_id.get(_target_of(incarnation))
+        if record is None or record.target.incarnation != incarnation:
+            return {}
+        return {
+            sender.partition("@")[0]: running
+            for sender, running in record.running_by_peer(
+                self._clock.now_ms()
+            ).items()
+        } | {self._instance: record.load.running}
+
     def _is_closed(self, incarnation: str) -> bool:
         """Return whether a target is in an evacuated data centre.
 
         The sender may not know of the evacuation yet.
         """
-        target_id = ids.TargetId(incarnation.rpartition("@")[0])
-        record = self._targets.by_id.get(target_id)
+        record = self._targets.by_id.get(_target_of(incarnation))
         return record is not None and self._targets.is_closed(record.target)
 
     def finish(self, end: PermitEnd) -> None:
         """Record the end of a request at a target that is brittle."""
         owned = self._owned_by_incarnation.get(end.incarnation)
-        if owned is None:
+        if owned is None or owned.room is None:
             return
         owned.room.finish(end.permit, end.was_rejected, self._clock.now_ms())
         if end.was_rejected:
@@ -408,6 +508,10 @@
         return 1.0 if 2 * reached > known else reached / known
 
 
+def _target_of(incarnation: str) -> ids.TargetId:
+    return ids.TargetId(incarnation.rpartition("@")[0])
+
+
 def _stated(answer: model.AnswerHead) -> target_records.LimitValues:
     return answer.rate_limit_per_s, answer.tolerated_rejections
 
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -262,6 +262,14 @@
             load.running for load in self._peer_loads(now_ms)
         )
 
+    def running_by_peer(self, now_ms: int) -> dict[str, int]:
+        """Return the running requests of each instance whose load is fresh."""
+        return {
+            peer: load.running
+            for peer, load in self.load_by_peer.items()
+            if now_ms - load.at_ms <= MAX_PEER_LOAD_AGE_MS
+        }
+
     def prefill_tokens(self, now_ms: int) -> float:
         """Return the prompt tokens still to be processed at the target."""
         return self.load.prefill_tokens + sum(
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -10,6 +10,7 @@
 from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway import model
 from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
@@ -239,26 +240,59 @@
         self.client = permit_client.PermitClient(
             self.id,
             clock,
-            self.limits,
+            permit_owners.PermitOwners(
+                clock, self.limits, Calls(self._fleet, self)
+            ),
             tasks.TaskGroup(clock),
-            self._ask,
-            self._report_end,
             self._fleet.metrics,
         )
 
-    async def _ask(
-        self, owner: peers.Member, request: target_limits.PermitRequest
+
+class Calls(permit_owners.PermitCalls):
+    """Calls of one instance; no target here is brittle."""
+
+    def __init__(self, fleet: "Fleet", instance: Instance) -> None:
+        self._fleet = fleet
+        self._instance = instance
+
+    async def ask_permit(
+        self,
+        owner: peers.Member,
+        request: target_limits.PermitRequest,
+        running: int,
+        is_passed_on: bool = False,
     ) -> int | None:
+        """Ask an instance of the same side that runs."""
         other = self._fleet.instance_by_id[owner.id]
-        if not other.is_running or other.side != self.side:
+        if not other.is_running or other.side != self._instance.side:
             return None
         fields = request.fields()
         return other.limits.take(target_limits.PermitRequest(**fields))
 
-    async def _report_end(
-        self, owner: peers.Member, end: target_limits.PermitEnd
+    async def report_permit_end(
+        self,
+        owner: peers.Member,
+        end: target_limits.PermitEnd,
+        is_passed_on: bool = False,
+    ) -> None:
+        """Do nothing."""
+
+    async def take_count(
+        self,
+        previous: peers.Member,
+        incarnation: str,
+        to: peers.Member | None = None,
+    ) -> target_limits.Count | None:
+        """Return no count."""
+        return None
+
+    async def return_count(
+        self,
+        owner: peers.Member,
+        incarnation: str,
+        count: target_limits.Count,
     ) -> None:
-        """Do nothing: no target here is brittle."""
+        """Do nothing."""
 
 
 class Fleet:
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -5,12 +5,14 @@
 import random
 import typing
 
+import orjson
 import pytest
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
 from cardamom_gateway.targets import brittle_services
 from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
@@ -49,6 +51,83 @@
     )
 
 
+def member_of(link: peers.PeerLink) -> peers.Member:
+    """Return an instance as others know it."""
+    settings = link._settings
+    return peers.Member(
+        settings.instance,
+        settings.peers_host,
+        settings.peers_port,
+        settings.data_centre,
+        "1",
+    )
+
+
+class Calls(permit_owners.PermitCalls):
+    """Calls of one instance to those that it reaches."""
+
+    def __init__(self, fleet: "Fleet", member: peers.Member) -> None:
+        self._fleet = fleet
+        self._member = member
+
+    def _owners(self, peer: peers.Member) -> permit_owners.PermitOwners | None:
+        if not self._fleet.is_reached(self._member.id, peer.id):
+            return None
+        return self._fleet.owners_by_id[peer.id]
+
+    async def ask_permit(
+        self,
+        owner: peers.Member,
+        request: target_limits.PermitRequest,
+        running: int,
+        is_passed_on: bool = False,
+    ) -> int | None:
+        """Ask an owner; return None if it isn't reached."""
+        owners = self._owners(owner)
+        if owners is None:
+            return None
+        return await owners.take(request, running, is_passed_on)
+
+    async def report_permit_end(
+        self,
+        owner: peers.Member,
+        end: target_limits.PermitEnd,
+        is_passed_on: bool = False,
+    ) -> None:
+        """Report to an owner if it is reached."""
+        owners = self._owners(owner)
+        if owners is not None:
+            await owners.finish(end, is_passed_on)
+
+    async def take_count(
+        self,
+        previous: peers.Member,
+        incarnation: str,
+        to: peers.Member | None = None,
+    ) -> target_limits.Count | None:
+        """Take a count over if the previous owner is reached."""
+        owners = self._owners(previous)
+        if owners is None:
+            return None
+        count = await owners.hand_over(
+            incarnation, to or self._member, to is not None
+        )
+        return count and permit_owners.decode_count(
+            orjson.loads(orjson.dumps(dataclasses.asdict(count)))
+        )
+
+    async def return_count(
+        self,
+        owner: peers.Member,
+        incarnation: str,
+        count: target_limits.Count,
+    ) -> None:
+        """Give a count to an owner if it is reached."""
+        owners = self._owners(owner)
+        if owners is not None:
+            owners.accept(incarnation, count)
+
+
 class Fleet:
     """Instances that know one target, without a network."""
 
@@ -62,6 +141,10 @@
         self.limits_by_id: dict[
             ids.InstanceId, target_limits.TargetLimits
         ] = {}
+        self.owners_by_id: dict[
+            ids.InstanceId, permit_owners.PermitOwners
+        ] = {}
+        self.stopping: set[ids.InstanceId] = set()
         self.records: list[target_records.TargetRecord] = []
         self.clients: list[permit_client.PermitClient] = []
         self.all_limits: list[target_limits.TargetLimits] = []
@@ -82,18 +165,17 @@
             registry,
             link,
             lambda: {"up": self.clock.now_ms()},
-            lambda: False,
+            lambda: instance in self.stopping,
         )
         self.limits_by_id[instance] = limits
         self.all_limits.append(limits)
+        owners = permit_owners.PermitOwners(
+            self.clock, limits, Calls(self, member_of(link))
+        )
+        self.owners_by_id[instance] = owners
         self.clients.append(
             permit_client.PermitClient(
-                instance,
-                self.clock,
-                limits,
-                tasks.TaskGroup(self.clock),
-                self.ask_from(instance),
-                self._report_end,
+                instance, self.clock, owners, tasks.TaskGroup(self.clock)
             )
         )
         self.records.append(registry.by_id[TARGET.id])
@@ -120,23 +202,10 @@
                 ):
                     peer.received_ms = now_ms
 
-    async def _report_end(
-        self, owner: peers.Member, end: target_limits.PermitEnd
-    ) -> None:
-        self.limits_by_id[owner.id].finish(end)
-
-    def ask_from(self, asker: ids.InstanceId) -> permit_client.PermitCall:
-        """Return the call of one instance to an owner."""
-
-        async def ask(
-            owner: peers.Member, request: target_limits.PermitRequest
-        ) -> int | None:
-            is_cut = self.side_by_id[owner.id] != self.side_by_id[asker]
-            if is_cut or owner.id in self.silent:
-                return None
-            return self.limits_by_id[owner.id].take(request)
-
-        return ask
+    def is_reached(self, asker: ids.InstanceId, other: ids.InstanceId) -> bool:
+        """Return whether an instance gets answers of another."""
+        is_cut = self.side_by_id[other] != self.side_by_id[asker]
+        return not is_cut and other not in self.silent
 
     async def play(
         self, rate_per_s: float, disturb: typing.Callable[[int], None]
--- a/tests/wire/test_brittle_targets.py
+++ b/tests/wire/test_brittle_targets.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import pytest
 
+from cardamom_gateway import gateway as gateway_module
 from tests.wire import scenarios
 from tests.wire import standins
 
@@ -142,26 +143,95 @@
         scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
 
 
+class TestRestartingInstances:
+    """Instances that stop and start while targets are brittle.
+
+    Guards against targets that fall over then (review, case 8).
+    """
+
+    def test_instance_knows_brittle_targets_once_it_is_ready(self) -> None:
+        """Its first requests went there without permits."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await scenarios.lift_limits(deployment)
+            brittle = Brittle(deployment, FULL_ROOM)
+            await _send_reads(deployment, session, brittle, 40, 1.0)
+            gateway = await deployment.start_gateway(is_first_start=False)
+            await standins.wait_until(lambda: gateway.is_ready)
+            now_ms = gateway.clock.now_ms()
+            needs = [
+                record.permit_need(now_ms)
+                for record in gateway.state.targets.by_id.values()
+            ]
+            assert needs and all(need and need.is_brittle for need in needs)
+
+        scenarios.run_scenario(scenario, plain=4, engines=0, gateways=2)
+
+    def test_brittle_targets_do_not_fall_over_while_instances_restart(
+        self,
+    ) -> None:
+        """Two owners counted at once, each only its own permits."""
+
+        async def scenario(
+            deployment: standins.Deployment, session: aiohttp.ClientSession
+        ) -> None:
+            await scenarios.lift_limits(deployment)
+            brittle = Brittle(deployment, FULL_ROOM, LONG_RUN_S)
+            capacity_per_s = len(deployment.replicas) * FULL_ROOM / LONG_RUN_S
+            serving = list(deployment.gateways)
+
+            async def restart_all() -> None:
+                await asyncio.sleep(CONTACT_S + 1)
+                for gateway in list(serving):
+                    serving.remove(gateway)
+                    gateway.begin_stop()
+                    await gateway.stopped.wait()
+                    successor = await deployment.start_gateway(
+                        is_first_start=False
+                    )
+                    await standins.wait_until(lambda: successor.is_ready)
+                    serving.append(successor)
+
+            async with asyncio.TaskGroup() as group:
+                group.create_task(restart_all())
+                statuses = await _send_reads(
+                    deployment,
+                    session,
+                    brittle,
+                    0.9 * capacity_per_s,
+                    RESTARTS_S,
+                    serving,
+                )
+            assert brittle.falls <= MAX_FALLS
+            assert statuses.count(200) >= 0.9 * len(statuses)
+
+        scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
+
+
 async def _send_reads(
     deployment: standins.Deployment,
     session: aiohttp.ClientSession,
     brittle: Brittle,
     requests_per_s: float,
     duration_s: float,
+    serving: list[gateway_module.Gateway] | None = None,
 ) -> list[int]:
     """Send reads to all instances in turn; return the answers' statuses.
 
-    No two are alike, so that none is suspected of the crashes.
+    No two are alike, so that none is suspected of the crashes.  ``serving``
+    are the instances that get them, all by default.
     """
+    gateways = deployment.gateways if serving is None else serving
     for replica in deployment.replicas:
         replica.behaviour = brittle.answer
     statuses: list[int] = []
 
     async def send(number: int) -> None:
+        callers = gateways[number % len(gateways)].settings.callers
         async with session.get(
-            deployment.url(
-                f"/read/{number}", number % len(deployment.gateways)
-            ),
+            f"http://{callers}/read/{number}",
             headers=scenarios.headers(f"a{number}"),
         ) as answer:
             await answer.read()
