Join only the rest of a stream to a stream that broke off

Cause: every answer below 400 on the route of a stream was taken for events, whatever it was; the daemon's resume looked at the status alone. Change: the rest of a stream has the status of its first answer and consists of events; in the daemon it names no other request. Anything else is a failed attempt. Why it works: the check comes before the first byte of the second answer is read or written.

--- a/packages/cardamom-daemon/src/cardamom_daemon/model_streams.py
+++ b/packages/cardamom-daemon/src/cardamom_daemon/model_streams.py
@@ -5,11 +5,14 @@
 import aiohttp
 from aiohttp import web
 
+from cardamom_daemon import callers
 from cardamom_daemon import fleet as fleets
 from cardamom_daemon import model_context
 from cardamom_daemon import sse
 from cardamom_daemon import targets as target_module
+from cardamom_kernel import ids
 from cardamom_kernel import outcomes
+from cardamom_platform import answer_bodies
 from cardamom_platform import pools
 
 MAX_RESUMES = 3
@@ -139,7 +142,7 @@
         except pools.NETWORK_ERRORS as error:
             return error
         async with response:
-            if response.status != 200:
+            if not _is_rest(response, context.id):
                 return ConnectionError("the target cannot resume the stream")
             return await self._relay(
                 context, caller_stream, splitter, response
@@ -168,6 +171,18 @@
         )
 
 
+def _is_rest(
+    response: aiohttp.ClientResponse, request_id: ids.RequestId
+) -> bool:
+    """Return whether an answer goes on with the stream of a request."""
+    named = response.headers.get(callers.REQUEST_ID_HEADER, request_id)
+    return (
+        response.status == 200
+        and answer_bodies.is_event_stream(response)
+        and named == request_id
+    )
+
+
 async def _next_events(
     splitter: sse.EventSplitter, response: aiohttp.ClientResponse
 ) -> bytes:
--- a/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/requests/forwarding.py
@@ -518,6 +518,7 @@
         assert response is not None
         try:
             if call.route.kind is model.CallKind.STREAM and response.ok:
+                _check_continues(call, response)
                 return await self._relay_stream(call, attempt, response)
             body = await answer_bodies.read(
                 response, held=self._state.held_answers
@@ -634,6 +635,25 @@
     return asyncio.get_running_loop().time() + stall_ms / MS_PER_S
 
 
+def _check_continues(
+    call: admission.Call, response: aiohttp.ClientResponse
+) -> None:
+    """Raise AttemptFailed for an answer that isn't the rest of a stream.
+
+    The caller has read the head of the first answer, and takes whatever
+    follows for events of that one.
+    """
+    if call.answer is not None and not (
+        response.status == call.answer.status
+        and answer_bodies.is_event_stream(response)
+    ):
+        raise attempts.AttemptFailed(
+            attempts.FailureKind.BROKEN,
+            f"status {response.status}, {response.content_type} "
+            "for the rest of a stream",
+        )
+
+
 def _note_sent(call: admission.Call, attempt: attempts.Attempt) -> None:
     attempt.note_sent()
     call.stage = admission.Stage.ANSWER
