Test the return of brittle targets with less room than slots

What an owner has learned of a target's room ends with its incarnation, so that a target of six slots and room for two could be rushed at its return.

--- a/tests/wire/test_brittle_targets.py
+++ b/tests/wire/test_brittle_targets.py
@@ -119,7 +119,12 @@
 
         scenarios.run_scenario(scenario, plain=4, engines=0, gateways=3)
 
-    def test_brittle_targets_do_not_fall_over_after_a_restart(self) -> None:
+    @pytest.mark.parametrize(
+        ("room", "run_s"), [(FULL_ROOM, LONG_RUN_S), (ROOM, RUN_S)]
+    )
+    def test_brittle_targets_do_not_fall_over_after_a_restart(
+        self, room: int, run_s: float
+    ) -> None:
         """Guards against falls at each return (review, case 9).
 
         Nobody knew that they were brittle until their first answers.
@@ -129,8 +134,8 @@
             deployment: standins.Deployment, session: aiohttp.ClientSession
         ) -> None:
             await scenarios.lift_limits(deployment)
-            brittle = Brittle(deployment, FULL_ROOM, LONG_RUN_S)
-            capacity_per_s = len(deployment.replicas) * FULL_ROOM / LONG_RUN_S
+            brittle = Brittle(deployment, room, run_s)
+            capacity_per_s = len(deployment.replicas) * room / run_s
             loop = asyncio.get_running_loop()
             for replica in deployment.replicas[:2]:
                 loop.call_later(CONTACT_S + 1, brittle.crash, replica)
