Write entries late in the fault soak

The soak removed the entry of a replica that left at the moment of its end, so that nothing could bring it back. Now the store carries out an earlier write 1 s after the removal, and the replica serves on while that entry stays.

--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -19,6 +19,10 @@
 PROBE_PERIOD_S = 0.1
 LEAVE_PERIOD_S = 3.0
 SERVES_ON_S = 4.0
+# From the removal of an entry to a late write of an earlier one, and how long
+# that one stays.
+LATE_WRITE_S = 1.0
+LATE_ENTRY_S = 2.5
 EVACUATION_PERIOD_S = 3.0
 # Some evacuations end before the time that the operators allow.
 EVACUATED_S = (2.0, 12.0)
@@ -219,9 +223,14 @@
                 continue
             name = f"r{next(self._numbers)}"
             await start(name, leaving.service, leaving.zone)
+            late_entry = self._needs.entry(leaving)
+            self._store.put(
+                "servers", leaving.name, self._needs.entry(leaving)
+            )
             self._leave(leaving)
             await asyncio.sleep(SERVES_ON_S)
             self._store.remove("servers", leaving.name)
+            await self._write_late(leaving, late_entry)
             self._replicas.remove(leaving)
             self._ledger.targets.begin()
             for instance in self._instances:
@@ -229,6 +238,16 @@
             await leaving.stop()
             self._ledger.targets.end(self._now_s())
 
+    async def _write_late(
+        self, leaving: standins.ReplicaStandIn, entry: dict[str, typing.Any]
+    ) -> None:
+        """Let the store carry out an earlier write after the removal."""
+        await asyncio.sleep(LATE_WRITE_S)
+        self._store.put("servers", leaving.name, entry)
+        self._ledger.note_event(f"late entry of {leaving.name}")
+        await asyncio.sleep(LATE_ENTRY_S)
+        self._store.remove("servers", leaving.name)
+
     async def run_evacuations(self, end_s: float) -> None:
         """Evacuate one data centre, or two at once, until a time."""
         while self._now_s() < end_s:
