Keep the messages of permits, and an instance's own address, in one place

Change: permit_messages has what senders and owners tell each other, peers.own_member() builds the row; the paths of counts say what they count.

--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peer_calls.py
@@ -13,6 +13,7 @@
 from cardamom_kernel import tables
 from cardamom_platform import answer_bodies
 from cardamom_platform import pools
+from cardamom_policy import room
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import interfaces
@@ -21,6 +22,7 @@
 from cardamom_gateway import sockets
 from cardamom_gateway import state as state_module
 from cardamom_gateway.store import store_relay
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 
@@ -112,18 +114,19 @@
         if request.path == "/permit-end" and request.method == "POST":
             fields = orjson.loads(await request.read())
             await self.permit_owners.finish(
-                target_limits.PermitEnd(**fields), _is_passed_on(request.query)
+                permit_messages.PermitEnd(**fields),
+                _is_passed_on(request.query),
             )
             return web.Response(body=b"{}")
-        if request.path == "/count" and request.method == "POST":
+        if request.path == "/permit-count" and request.method == "POST":
             return await self._answer_count(
                 orjson.loads(await request.read()), request.query
             )
-        if request.path == "/returned-count" and request.method == "POST":
+        if request.path == "/permit-count-return" and request.method == "POST":
             fields = orjson.loads(await request.read())
             self.permit_owners.accept(
                 str(fields["incarnation"]),
-                permit_owners.decode_count(fields["count"]),
+                permit_messages.decode_count(fields["count"]),
             )
             return web.Response(body=b"{}")
         if request.path == "/row" and request.method == "GET":
@@ -202,7 +205,7 @@
     ) -> web.Response:
         running = query.get("running")
         wait_ms = await self.permit_owners.take(
-            target_limits.PermitRequest(**fields),
+            permit_messages.PermitRequest(**fields),
             None if running is None else int(running),
             _is_passed_on(query),
         )
@@ -213,7 +216,7 @@
     async def report_permit_end(
         self,
         owner: peers.Member,
-        end: target_limits.PermitEnd,
+        end: permit_messages.PermitEnd,
         is_passed_on: bool = False,
     ) -> None:
         """Tell an owner that a request with a permit has ended."""
@@ -227,7 +230,7 @@
     async def ask_permit(
         self,
         owner: peers.Member,
-        request: target_limits.PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int,
         is_passed_on: bool = False,
     ) -> int | None:
@@ -262,27 +265,20 @@
         previous: peers.Member,
         incarnation: str,
         to: peers.Member | None = None,
-    ) -> target_limits.Count | None:
+    ) -> room.Count | None:
         """Take a target's count over from an instance, None without one."""
-        settings = self._state.settings
-        member = to or peers.Member(
-            settings.instance,
-            settings.peers_host,
-            settings.peers_port,
-            settings.data_centre,
-            "",
-        )
+        member = to or peers.own_member(self._state.settings)
         fields = await self._call(
             "POST",
             previous,
-            f"/count?passed_on={int(to is not None)}",
+            f"/permit-count?passed_on={int(to is not None)}",
             {"incarnation": incarnation, "to": dataclasses.asdict(member)},
             timeout_s=COUNT_TIMEOUT_S,
         )
         if fields is None or fields["count"] is None:
             return None
         try:
-            return permit_owners.decode_count(fields["count"])
+            return permit_messages.decode_count(fields["count"])
         except (KeyError, TypeError, ValueError) as error:
             LOG.warning(
                 "peer_calls: count not usable",
@@ -295,13 +291,13 @@
         self,
         owner: peers.Member,
         incarnation: str,
-        count: target_limits.Count,
+        count: room.Count,
     ) -> None:
         """Give a target's count to the instance that owns it now."""
         await self._call(
             "POST",
             owner,
-            "/returned-count",
+            "/permit-count-return",
             {"incarnation": incarnation, "count": dataclasses.asdict(count)},
             timeout_s=COUNT_TIMEOUT_S,
         )
--- a/packages/cardamom-gateway/src/cardamom_gateway/fleet/peers.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/fleet/peers.py
@@ -72,6 +72,19 @@
     incarnation: str
 
 
+def own_member(
+    settings: settings_module.GatewaySettings, incarnation: str = ""
+) -> Member:
+    """Return an instance as the others know it."""
+    return Member(
+        settings.instance,
+        settings.peers_host,
+        settings.peers_port,
+        settings.data_centre,
+        incarnation,
+    )
+
+
 @dataclasses.dataclass
 class Peer:
     """A member with its latest state update."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/gateway.py
@@ -602,13 +602,7 @@
         """
         key = member_rows.PREFIX + self._name
         row = member_rows.encode(
-            peers.Member(
-                self._name,
-                self.settings.peers_host,
-                self.settings.peers_port,
-                self.settings.data_centre,
-                self.incarnation,
-            )
+            peers.own_member(self.settings, self.incarnation)
         )
         while True:
             result = await self._table.commit({}, {key: row})
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_client.py
@@ -9,8 +9,8 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import metrics as metrics_module
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import permit_owners
-from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 
 # Time without requests to a target after its owner gave no answer.
@@ -23,7 +23,7 @@
 class Permit:
     """A permit for one attempt, and its owner, None for this instance."""
 
-    request: target_limits.PermitRequest
+    request: permit_messages.PermitRequest
     owner: peers.Member | None
 
 
@@ -59,7 +59,7 @@
         """
         need = need or record.permit_need(self._clock.now_ms())
         assert need is not None
-        request = target_limits.PermitRequest(
+        request = permit_messages.PermitRequest(
             incarnation=record.target.incarnation,
             permit=f"{self._instance}-{next(self._numbers)}",
             rate_per_s=need.stated_rate_per_s,
@@ -88,7 +88,7 @@
         """Report the end of a request, if its owner counts those in flight."""
         if not permit.request.is_brittle:
             return
-        end = target_limits.PermitEnd(
+        end = permit_messages.PermitEnd(
             permit.request.incarnation, permit.request.permit, was_rejected
         )
         self._group.run_in_background(
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_owners.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_owners.py
@@ -9,13 +9,14 @@
 import abc
 import asyncio
 import dataclasses
-import typing
 
 import structlog
 
 from cardamom_kernel import clocks
+from cardamom_policy import room
 
 from cardamom_gateway.fleet import peers
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import target_limits
 
 LOG = structlog.get_logger("cardamom.gateway.limits")
@@ -31,7 +32,7 @@
     async def ask_permit(
         self,
         owner: peers.Member,
-        request: target_limits.PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int,
         is_passed_on: bool = False,
     ) -> int | None:
@@ -45,7 +46,7 @@
     async def report_permit_end(
         self,
         owner: peers.Member,
-        end: target_limits.PermitEnd,
+        end: permit_messages.PermitEnd,
         is_passed_on: bool = False,
     ) -> None:
         """Tell an owner that a request with a permit has ended."""
@@ -56,7 +57,7 @@
         previous: peers.Member,
         incarnation: str,
         to: peers.Member | None = None,
-    ) -> target_limits.Count | None:
+    ) -> room.Count | None:
         """Take a target's count over from an instance, None without one.
 
         ``to`` is the next owner if that is another one, which has asked this
@@ -68,7 +69,7 @@
         self,
         owner: peers.Member,
         incarnation: str,
-        count: target_limits.Count,
+        count: room.Count,
     ) -> None:
         """Give a target's count to the instance that owns it now."""
 
@@ -98,7 +99,7 @@
 
     async def take(
         self,
-        request: target_limits.PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int | None,
         is_passed_on: bool = False,
     ) -> int | None:
@@ -121,7 +122,7 @@
         return self.limits.take(request, running)
 
     async def finish(
-        self, end: target_limits.PermitEnd, is_passed_on: bool = False
+        self, end: permit_messages.PermitEnd, is_passed_on: bool = False
     ) -> None:
         """Record the end of a request, wherever it is counted."""
         if self.limits.is_counting(end.incarnation):
@@ -133,7 +134,7 @@
 
     async def hand_over(
         self, incarnation: str, to: peers.Member, is_passed_on: bool = False
-    ) -> target_limits.Count | None:
+    ) -> room.Count | None:
         """Give a target's count up to its next owner, None without one."""
         count = self.limits.give_up(incarnation)
         owner = self._find_other(incarnation)
@@ -144,7 +145,7 @@
         self._note_move(incarnation, to)
         return count
 
-    def accept(self, incarnation: str, count: target_limits.Count) -> None:
+    def accept(self, incarnation: str, count: room.Count) -> None:
         """Go on with the count of an instance that owned a target before."""
         self._move_by_incarnation.pop(incarnation, None)
         self.limits.begin_count(incarnation, count)
@@ -201,23 +202,3 @@
         if count is None:
             count = self.limits.estimate_count(incarnation, slots)
         self.accept(incarnation, count)
-
-
-def decode_count(fields: dict[str, typing.Any]) -> target_limits.Count:
-    """Decode the count of a target.
-
-    Raises KeyError, TypeError or ValueError if it is malformed.
-    """
-    return target_limits.Count(
-        slots=int(fields["slots"]),
-        bound=int(fields["bound"]),
-        unchanged_ms=int(fields["unchanged_ms"]),
-        in_flight=[
-            (str(permit), int(expires_in_ms), int(others))
-            for permit, expires_in_ms, others in fields["in_flight"]
-        ],
-        uncounted={
-            str(sender): int(running)
-            for sender, running in dict(fields["uncounted"]).items()
-        },
-    )
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -20,12 +20,12 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import rendezvous
-from cardamom_policy import cold_starts
 from cardamom_policy import permits
 from cardamom_policy import room as room_module
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway import model
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 
@@ -54,61 +54,6 @@
 # Part of its share that an instance uses which can't know what is cold.
 CUT_OFF_RATIO = 0.5
 NOTHING: target_records.LimitValues = (None, None)
-Count = room_module.Count
-
-
-@dataclasses.dataclass(frozen=True)
-class PermitRequest:
-    """A request for a permit, with the limit as the sender knows it.
-
-    ``permit`` is unique over all instances.  ``rate_per_s`` is None for a
-    target without a limited rate; requests in flight are counted for one that
-    ``is_brittle``.  The permit then expires after ``expires_in_ms``.  A cold
-    target has the bound of ``cold_rate_per_s`` and ``cold_burst``.
-    """
-
-    incarnation: str
-    permit: str
-    rate_per_s: float | None
-    is_brittle: bool
-    slots: int
-    is_urgent: bool
-    expires_in_ms: int
-    cold_rate_per_s: float | None = None
-    cold_burst: float | None = None
-
-    @property
-    def sender(self) -> str:
-        """Return the instance that asks."""
-        return self.permit.rpartition("-")[0]
-
-    @property
-    def cold(self) -> cold_starts.ColdBound | None:
-        """Return the bound of a cold target, None for a warm one."""
-        if self.cold_rate_per_s is None or self.cold_burst is None:
-            return None
-        return cold_starts.ColdBound(self.cold_rate_per_s, self.cold_burst)
-
-    def fields(self) -> dict[str, typing.Any]:
-        """Return the fields of a message.
-
-        Earlier builds don't know those of cold targets, so they are left out
-        for warm ones.
-        """
-        return {
-            name: value
-            for name, value in dataclasses.asdict(self).items()
-            if value is not None or not name.startswith("cold_")
-        }
-
-
-@dataclasses.dataclass(frozen=True)
-class PermitEnd:
-    """The end of a request with a permit, which the target may reject."""
-
-    incarnation: str
-    permit: str
-    was_rejected: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -254,7 +199,11 @@
 
     # Permits.
 
-    def take(self, request: PermitRequest, running: int | None = None) -> int:
+    def take(
+        self,
+        request: permit_messages.PermitRequest,
+        running: int | None = None,
+    ) -> int:
         """Take a permit of a target; return 0, or the ms until there is one.
 
         The caller takes this instance for the owner, and has ``running``
@@ -294,7 +243,7 @@
     def _take_room(
         self,
         owned: _Owned,
-        request: PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int | None,
         now_ms: int,
     ) -> bool:
@@ -321,7 +270,7 @@
         owned = self._owned_by_incarnation.get(incarnation)
         return owned is not None and owned.room is not None
 
-    def begin_count(self, incarnation: str, count: Count) -> None:
+    def begin_count(self, incarnation: str, count: room_module.Count) -> None:
         """Count the requests at a target, from what another has counted."""
         now_ms = self._clock.now_ms()
         owned = self._owned_by_incarnation.setdefault(
@@ -332,15 +281,19 @@
         else:
             owned.room.merge(count, now_ms)
 
-    def estimate_count(self, incarnation: str, slots: int) -> Count:
+    def estimate_count(
+        self, incarnation: str, slots: int
+    ) -> room_module.Count:
         """Return the count of a target that nobody has counted yet.
 
         The requests that are under way there have no permits.
         """
         slots = max(1, slots)
-        return Count(slots, slots, 0, [], self._running_by_sender(incarnation))
+        return room_module.Count(
+            slots, slots, 0, [], self._running_by_sender(incarnation)
+        )
 
-    def give_up(self, incarnation: str) -> Count | None:
+    def give_up(self, incarnation: str) -> room_module.Count | None:
         """Stop counting at a target; return the count, None without one."""
         owned = self._owned_by_incarnation.get(incarnation)
         if owned is None or owned.room is None:
@@ -401,7 +354,7 @@
         record = self._targets.by_id.get(_target_of(incarnation))
         return record is not None and self._targets.is_closed(record.target)
 
-    def finish(self, end: PermitEnd) -> None:
+    def finish(self, end: permit_messages.PermitEnd) -> None:
         """Record the end of a request at a target that is brittle."""
         owned = self._owned_by_incarnation.get(end.incarnation)
         if owned is None or owned.room is None:
--- a/tests/gateway/links.py
+++ b/tests/gateway/links.py
@@ -102,14 +102,7 @@
         for number in range(size):
             self._add(number, receive)
         for link, other in itertools.permutations(self.links, 2):
-            settings = other._settings
-            member = peers.Member(
-                settings.instance,
-                settings.peers_host,
-                settings.peers_port,
-                settings.data_centre,
-                "1",
-            )
+            member = peers.own_member(other._settings, "1")
             link.member_by_id[member.id] = member
             link.peer_by_id[member.id] = peers.Peer(
                 member, self.clock.now_ms(), {}
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -10,6 +10,7 @@
 from cardamom_gateway import metrics as metrics_module
 from cardamom_gateway import model
 from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
@@ -17,6 +18,7 @@
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
+from cardamom_policy import room
 from tests.gateway import links
 
 SERVICE = model.Service(
@@ -258,7 +260,7 @@
     async def ask_permit(
         self,
         owner: peers.Member,
-        request: target_limits.PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int,
         is_passed_on: bool = False,
     ) -> int | None:
@@ -267,12 +269,12 @@
         if not other.is_running or other.side != self._instance.side:
             return None
         fields = request.fields()
-        return other.limits.take(target_limits.PermitRequest(**fields))
+        return other.limits.take(permit_messages.PermitRequest(**fields))
 
     async def report_permit_end(
         self,
         owner: peers.Member,
-        end: target_limits.PermitEnd,
+        end: permit_messages.PermitEnd,
         is_passed_on: bool = False,
     ) -> None:
         """Do nothing."""
@@ -282,7 +284,7 @@
         previous: peers.Member,
         incarnation: str,
         to: peers.Member | None = None,
-    ) -> target_limits.Count | None:
+    ) -> room.Count | None:
         """Return no count."""
         return None
 
@@ -290,7 +292,7 @@
         self,
         owner: peers.Member,
         incarnation: str,
-        count: target_limits.Count,
+        count: room.Count,
     ) -> None:
         """Do nothing."""
 
@@ -581,7 +583,7 @@
             if i.limits.owner(incarnation) is not None
         ]
         bound = fleet.instances[0].registry.cold_rules.by_service[SERVICE.id]
-        request = target_limits.PermitRequest(
+        request = permit_messages.PermitRequest(
             incarnation=incarnation,
             permit="x",
             rate_per_s=None,
@@ -620,7 +622,7 @@
 
     def test_warm_target_is_asked_for_as_by_earlier_builds(self) -> None:
         """Guards against fields that an owner of an earlier build rejects."""
-        request = target_limits.PermitRequest(
+        request = permit_messages.PermitRequest(
             "e1@1", "x", 1.5, False, 64, True, 1_000
         )
         assert not any(name.startswith("cold") for name in request.fields())
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -3,6 +3,7 @@
 import typing
 
 from cardamom_gateway.locations import evacuations
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import target_limits
 from cardamom_kernel import clocks
 from cardamom_kernel import ids
@@ -192,7 +193,7 @@
         fleet = test_target_limits.Fleet(1)
         (limits,) = fleet.all_limits
         in_force = limits._targets._evacuations
-        request = target_limits.PermitRequest(
+        request = permit_messages.PermitRequest(
             incarnation=test_target_limits.TARGET.incarnation,
             permit="p",
             rate_per_s=100.0,
--- a/tests/gateway/test_permit_owners.py
+++ b/tests/gateway/test_permit_owners.py
@@ -14,10 +14,10 @@
 
 from cardamom_gateway.fleet import peers
 from cardamom_gateway.targets import permit_client
-from cardamom_gateway.targets import permit_owners
-from cardamom_gateway.targets import target_limits
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import target_records
 from cardamom_kernel import ids
+from cardamom_policy import room
 from tests.gateway import links
 from tests.gateway import test_target_limits
 
@@ -274,9 +274,9 @@
     def test_malformed_count_is_an_error(self) -> None:
         """It is logged, and the requests are estimated."""
         fields = dataclasses.asdict(
-            target_limits.Count(6, 6, 0, [("a-1", 100, 0)], {"a": 1})
+            room.Count(6, 6, 0, [("a-1", 100, 0)], {"a": 1})
         )
-        assert permit_owners.decode_count(fields).uncounted == {"a": 1}
+        assert permit_messages.decode_count(fields).uncounted == {"a": 1}
         for name in fields:
             with pytest.raises((KeyError, TypeError, ValueError)):
-                permit_owners.decode_count(fields | {name: [[1]]})
+                permit_messages.decode_count(fields | {name: [[1]]})
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -12,12 +12,14 @@
 from cardamom_gateway import model
 from cardamom_gateway.targets import brittle_services
 from cardamom_gateway.targets import permit_client
+from cardamom_gateway.targets import permit_messages
 from cardamom_gateway.targets import permit_owners
 from cardamom_gateway.targets import target_limits
 from cardamom_gateway.targets import target_records
 from cardamom_gateway.targets import target_registry
 from cardamom_kernel import ids
 from cardamom_kernel import tasks
+from cardamom_policy import room
 from tests.gateway import links
 
 STEP_MS = 20
@@ -51,18 +53,6 @@
     )
 
 
-def member_of(link: peers.PeerLink) -> peers.Member:
-    """Return an instance as others know it."""
-    settings = link._settings
-    return peers.Member(
-        settings.instance,
-        settings.peers_host,
-        settings.peers_port,
-        settings.data_centre,
-        "1",
-    )
-
-
 class Calls(permit_owners.PermitCalls):
     """Calls of one instance to those that it reaches."""
 
@@ -78,7 +68,7 @@
     async def ask_permit(
         self,
         owner: peers.Member,
-        request: target_limits.PermitRequest,
+        request: permit_messages.PermitRequest,
         running: int,
         is_passed_on: bool = False,
     ) -> int | None:
@@ -91,7 +81,7 @@
     async def report_permit_end(
         self,
         owner: peers.Member,
-        end: target_limits.PermitEnd,
+        end: permit_messages.PermitEnd,
         is_passed_on: bool = False,
     ) -> None:
         """Report to an owner if it is reached."""
@@ -104,7 +94,7 @@
         previous: peers.Member,
         incarnation: str,
         to: peers.Member | None = None,
-    ) -> target_limits.Count | None:
+    ) -> room.Count | None:
         """Take a count over if the previous owner is reached."""
         owners = self._owners(previous)
         if owners is None:
@@ -112,7 +102,7 @@
         count = await owners.hand_over(
             incarnation, to or self._member, to is not None
         )
-        return count and permit_owners.decode_count(
+        return count and permit_messages.decode_count(
             orjson.loads(orjson.dumps(dataclasses.asdict(count)))
         )
 
@@ -120,7 +110,7 @@
         self,
         owner: peers.Member,
         incarnation: str,
-        count: target_limits.Count,
+        count: room.Count,
     ) -> None:
         """Give a count to an owner if it is reached."""
         owners = self._owners(owner)
@@ -170,7 +160,7 @@
         self.limits_by_id[instance] = limits
         self.all_limits.append(limits)
         owners = permit_owners.PermitOwners(
-            self.clock, limits, Calls(self, member_of(link))
+            self.clock, limits, Calls(self, peers.own_member(link._settings))
         )
         self.owners_by_id[instance] = owners
         self.clients.append(
