Count what runs when a target is brittle again

Change: an owner that hasn't been asked for 2 s takes what senders report beyond their permits into its count, as a new one does. Evidence: the new case of TestCountOverChanges has 12 requests in flight at a room of 6 without it, and 6 now.

--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_limits.py
@@ -37,6 +37,8 @@
 BUCKET_RETENTION_MS = 60_000
 # Time after which there may be room again at a target.
 ROOM_WAIT_MS = 30
+# Requests may have been sent without permits after so long a time without any.
+ROOM_IDLE_MS = 2_000
 # Pause of a sender that doesn't know that a target's data centre is evacuated.
 CLOSED_WAIT_MS = 1_000
 # An instance counts for a cold target once it has been the target's owner for
@@ -71,6 +73,7 @@
     bucket: permits.PermitBucket
     used_ms: int
     room: room_module.Room | None = None
+    room_used_ms: int = clocks.NEVER_MS
 
 
 class TargetLimits:
@@ -251,10 +254,14 @@
         if owned.room is None:
             owned.room = room_module.Room(request.slots, now_ms)
         room = owned.room
-        if room.has_uncounted:
+        is_resumed = now_ms - owned.room_used_ms > ROOM_IDLE_MS
+        owned.room_used_ms = now_ms
+        if is_resumed:
+            room.resume(self._running_by_sender(request.incarnation))
+        elif room.has_uncounted:
             room.note_running(self._running_by_sender(request.incarnation))
-            if running is not None:
-                room.note_sender(request.sender, running)
+        if room.has_uncounted and running is not None:
+            room.note_sender(request.sender, running)
         return room.take(
             request.permit,
             request.is_urgent,
@@ -280,6 +287,7 @@
             owned.room = room_module.Room.continued(count, now_ms)
         else:
             owned.room.merge(count, now_ms)
+        owned.room_used_ms = now_ms
 
     def estimate_count(
         self, incarnation: str, slots: int
--- a/packages/cardamom-policy/src/cardamom_policy/room.py
+++ b/packages/cardamom-policy/src/cardamom_policy/room.py
@@ -113,12 +113,25 @@
         uncounted = self._uncounted_by_sender.get(sender)
         if uncounted is None:
             return
-        permits = collections.Counter(
-            permit.rpartition("-")[0] for permit in self._in_flight_by_permit
-        )
+        remaining = min(uncounted, running - self._permits_by_sender()[sender])
+        self._set_uncounted(self._uncounted_by_sender | {sender: remaining})
+
+    def resume(self, running_by_sender: typing.Mapping[str, int]) -> None:
+        """Go on counting after a time in which no permits were needed.
+
+        What senders have reported beyond their permits runs without one.
+        """
+        permits = self._permits_by_sender()
         self._set_uncounted(
-            self._uncounted_by_sender
-            | {sender: min(uncounted, running - permits[sender])}
+            {
+                sender: running - permits[sender]
+                for sender, running in running_by_sender.items()
+            }
+        )
+
+    def _permits_by_sender(self) -> collections.Counter[str]:
+        return collections.Counter(
+            permit.rpartition("-")[0] for permit in self._in_flight_by_permit
         )
 
     def _set_uncounted(self, by_sender: dict[str, int]) -> None:
--- a/tests/gateway/test_permit_owners.py
+++ b/tests/gateway/test_permit_owners.py
@@ -41,11 +41,7 @@
         super().__init__(size)
         for limits in self.all_limits:
             limits._targets.put(dataclasses.replace(TARGET, entry_sequence=2))
-        for number, limits in enumerate(self.all_limits):
-            limits.note_answer(
-                self.records[number], test_target_limits.answer_head(None, 3)
-            )
-        self.network.deliver()
+        self.state_all(3)
         self.ended: set[ids.InstanceId] = set()
         self.in_flight: list[
             tuple[int, ids.InstanceId, permit_client.Permit | None]
@@ -61,6 +57,19 @@
             self.in_flight.append((end_ms, instance, None))
         self._report_loads()
 
+    async def end_all(self) -> None:
+        """Let all requests end that are under way."""
+        self.clock.step(RUN_MS)
+        self._end_requests()
+        await asyncio.sleep(0)
+
+    def state_all(self, tolerated_rejections: int | None) -> None:
+        """Let the target tell all instances whether it is brittle."""
+        head = test_target_limits.answer_head(None, tolerated_rejections)
+        for record, limits in zip(self.records, self.all_limits):
+            limits.note_answer(record, head)
+        self.network.deliver()
+
     def _record(self, instance: ids.InstanceId) -> target_records.TargetRecord:
         return self.records[self.ids.index(instance)]
 
@@ -228,6 +237,22 @@
         assert fleet.most_in_flight == SLOTS
         self._check_served(fleet)
 
+    def test_requests_under_way_when_a_target_is_brittle_again(self) -> None:
+        """The owner has counted before, but not these."""
+        fleet = BrittleFleet(3)
+
+        async def play_twice() -> None:
+            await fleet.play_brittle(lambda *args: None)
+            await fleet.end_all()
+            for tolerated in (None, 3):
+                fleet.state_all(tolerated)
+                fleet.clock.step(10_000)
+            fleet.begin_without_permits(SLOTS)
+            await fleet.play_brittle(lambda *args: None)
+
+        links.run_stepped(play_twice())
+        assert fleet.most_in_flight == SLOTS
+
     def test_owner_that_nobody_can_ask_is_replaced_by_an_estimate(
         self,
     ) -> None:
