--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_owners.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/permit_owners.py
@@ -137,13 +137,13 @@
     ) -> room.Count | None:
         """Give a target's count up to its next owner, None without one."""
         count = self.limits.give_up(incarnation)
+        if count is not None:
+            self._note_move(incarnation, to)
+            return count
         owner = self._find_other(incarnation)
-        if count is None:
-            if owner is None or owner.id == to.id or is_passed_on:
-                return None
-            return await self.calls.take_count(owner, incarnation, to)
-        self._note_move(incarnation, to)
-        return count
+        if owner is None or owner.id == to.id or is_passed_on:
+            return None
+        return await self.calls.take_count(owner, incarnation, to)
 
     def accept(self, incarnation: str, count: room.Count) -> None:
         """Go on with the count of an instance that owned a target before."""
--- a/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
+++ b/packages/cardamom-gateway/src/cardamom_gateway/targets/target_records.py
@@ -266,8 +266,7 @@
         """Return the running requests of each instance whose load is fresh."""
         return {
             peer: load.running
-            for peer, load in self.load_by_peer.items()
-            if now_ms - load.at_ms <= MAX_PEER_LOAD_AGE_MS
+            for peer, load in self._fresh_load_by_peer(now_ms).items()
         }
 
     def prefill_tokens(self, now_ms: int) -> float:
@@ -285,12 +284,15 @@
             running.update(load.by_model_and_adapter)
         return running
 
-    def _peer_loads(self, now_ms: int) -> typing.Iterator[PeerLoad]:
-        return (
-            load
-            for load in self.load_by_peer.values()
+    def _peer_loads(self, now_ms: int) -> typing.Iterable[PeerLoad]:
+        return self._fresh_load_by_peer(now_ms).values()
+
+    def _fresh_load_by_peer(self, now_ms: int) -> dict[str, PeerLoad]:
+        return {
+            peer: load
+            for peer, load in self.load_by_peer.items()
             if now_ms - load.at_ms <= MAX_PEER_LOAD_AGE_MS
-        )
+        }
 
     def pace(self, resident: str, now_ms: int) -> float:
         """Return the pace for requests of a model, "" for plain calls."""
